--- /dev/null
+++ b/internal/service/service.go
@@ -0,0 +1,63 @@
+// Package service describes the services that operators create and the limits
+// that each service must respect. It holds data and validation only.
+package service
+
+import (
+	"net/netip"
+	"time"
+)
+
+// ID identifies a service inside connection IDs and envelopes. Zero is no service.
+type ID uint16
+
+// Spec is the whole state of one service, as a change ticket carries it.
+type Spec struct {
+	// Name identifies the service to operators: lower-case letters, digits and hyphens.
+	Name string `json:"name" msgpack:"name"`
+	// ID identifies the service inside packets. It never changes and is not reused.
+	ID ID `json:"id" msgpack:"id"`
+	// Address is where callers reach the service. It never changes.
+	Address netip.AddrPort `json:"address" msgpack:"address"`
+	// HostNames are the host names that requests may carry. Empty allows any.
+	HostNames []string `json:"hostNames,omitempty" msgpack:"host_names,omitempty"`
+	// DataCentres are the data centres whose backend servers may serve. Empty allows all.
+	DataCentres []string `json:"dataCentres,omitempty" msgpack:"data_centres,omitempty"`
+	// BackendServers are the networks whose backend servers may serve the service.
+	BackendServers []netip.Prefix `json:"backendServers" msgpack:"backend_servers"`
+	// Draining lists backend servers (agent addresses) that must get no new work.
+	Draining []netip.AddrPort `json:"draining,omitempty" msgpack:"draining,omitempty"`
+	// Limits bound the work that one backend server and the whole service accept.
+	Limits Limits `json:"limits" msgpack:"limits"`
+	// Repeat says which requests may run more than once.
+	Repeat RepeatPolicy `json:"repeat" msgpack:"repeat"`
+}
+
+// Limits bound the work of a service.
+type Limits struct {
+	// Connections is the number of open flows that one backend server accepts.
+	Connections int `json:"connections" msgpack:"connections"`
+	// Slots is the number of requests that one backend server runs at a time.
+	Slots int `json:"slots" msgpack:"slots"`
+	// QueueLength is the number of requests that may wait at one backend server.
+	QueueLength int `json:"queueLength" msgpack:"queue_length"`
+	// RequestsPerSecond bounds the requests that one backend server admits. Zero is no bound.
+	RequestsPerSecond float64 `json:"requestsPerSecond,omitempty" msgpack:"requests_per_second,omitempty"`
+	// FlowsPerSecond bounds the new flows that one balancer admits. Zero is no bound.
+	FlowsPerSecond float64 `json:"flowsPerSecond,omitempty" msgpack:"flows_per_second,omitempty"`
+	// DeadlineMillis is the longest time from receipt to the start of the answer, in milliseconds.
+	DeadlineMillis int64 `json:"deadlineMillis" msgpack:"deadline_millis"`
+}
+
+// Deadline returns the longest time from receipt to the start of the answer.
+func (l Limits) Deadline() time.Duration {
+	return time.Duration(l.DeadlineMillis) * time.Millisecond
+}
+
+// RepeatPolicy says which requests may run more than once.
+type RepeatPolicy struct {
+	// RequireKey refuses a request that may not be repeated unless it carries an
+	// idempotency key that the system issued.
+	RequireKey bool `json:"requireKey" msgpack:"require_key"`
+	// RepeatablePaths are path prefixes whose requests may be repeated whatever their method.
+	RepeatablePaths []string `json:"repeatablePaths,omitempty" msgpack:"repeatable_paths,omitempty"`
+}
