--- /dev/null
+++ b/internal/connid/connid.go
@@ -0,0 +1,139 @@
+// Package connid encodes the destination of a flow into QUIC connection IDs.
+//
+// An agent issues connection IDs that name the agent itself and its service,
+// in the manner of QUIC-LB (draft-ietf-quic-load-balancers): one byte with the
+// key version, then one AES block. Any process that holds the key can route a
+// packet without state. The block carries check bytes, so that a connection ID
+// that no agent issued is recognised.
+package connid
+
+import (
+	"crypto/aes"
+	"crypto/cipher"
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/service"
+)
+
+// Len is the length of an issued connection ID in bytes.
+const Len = 1 + aes.BlockSize
+
+// MaxVersions is the number of key versions that fit into a connection ID.
+const MaxVersions = 8
+
+// KeyLen is the length of a key in bytes (AES-256).
+const KeyLen = 32
+
+const versionShift = 5
+
+// Layout of the AES block: IPv4 address, port, service, counter, check bytes.
+const (
+	offsetAddr    = 0
+	offsetPort    = 4
+	offsetService = 6
+	offsetCounter = 8
+	offsetCheck   = 12
+)
+
+// Errors of Decode.
+var (
+	// ErrLength means that the connection ID does not have the length of an issued one.
+	ErrLength = errkind.New(errkind.Invalid, "connection ID has a foreign length", "treat the packet as the opening of a flow")
+	// ErrVersion means that no key of the named version is held.
+	ErrVersion = errkind.New(errkind.Unauthenticated, "connection ID names an unknown key version",
+		"keep a packet key accepted until its last flow has ended")
+	// ErrForged means that the check bytes are wrong.
+	ErrForged = errkind.New(errkind.Unauthenticated, "connection ID was not issued by this system",
+		"treat a long-header packet as an opening and drop a short-header packet")
+)
+
+// Target is what a connection ID names.
+type Target struct {
+	// Agent is the UDP address of the agent that issued the connection ID; IPv4 only.
+	Agent netip.AddrPort
+	// Service is the service of the flow.
+	Service service.ID
+	// Counter makes each connection ID of an agent unique.
+	Counter uint32
+}
+
+// Key is one version of the connection ID key.
+type Key struct {
+	Version uint8
+	Secret  [KeyLen]byte
+}
+
+// Codec encodes and decodes connection IDs. It is safe for concurrent use.
+type Codec struct {
+	current uint8
+	blocks  [MaxVersions]cipher.Block
+}
+
+// NewCodec returns a codec that issues under the first key and accepts all of them.
+func NewCodec(keys []Key) (*Codec, error) {
+	if len(keys) == 0 {
+		return nil, errkind.New(errkind.Invalid, "no connection ID key", "list at least one packet key in the settings")
+	}
+	codec := &Codec{current: keys[0].Version}
+	for _, key := range keys {
+		if key.Version >= MaxVersions {
+			return nil, errkind.New(errkind.Invalid, "key version is above 7", "number packet keys from 0 to 7")
+		}
+		if codec.blocks[key.Version] != nil {
+			return nil, errkind.New(errkind.Invalid, "key version stands twice", "give each packet key its own version")
+		}
+		block, err := aes.NewCipher(key.Secret[:])
+		if err != nil {
+			return nil, errkind.Wrap(err, errkind.Invalid, "bad connection ID key", "use a key of 32 bytes")
+		}
+		codec.blocks[key.Version] = block
+	}
+	return codec, nil
+}
+
+// Encode returns the connection ID of target. The low five bits of random fill
+// the rest of the first byte, so that it does not identify the system.
+func (c *Codec) Encode(target Target, random byte) ([Len]byte, error) {
+	var id [Len]byte
+	addr := target.Agent.Addr().Unmap()
+	if !addr.Is4() {
+		return id, errkind.New(errkind.Invalid, "agent address is not IPv4", "give agents an IPv4 address")
+	}
+	id[0] = c.current<<versionShift | random&(1<<versionShift-1)
+	var block [aes.BlockSize]byte
+	octets := addr.As4()
+	copy(block[offsetAddr:], octets[:])
+	binary.BigEndian.PutUint16(block[offsetPort:], target.Agent.Port())
+	binary.BigEndian.PutUint16(block[offsetService:], uint16(target.Service))
+	binary.BigEndian.PutUint32(block[offsetCounter:], target.Counter)
+	c.blocks[c.current].Encrypt(id[1:], block[:])
+	return id, nil
+}
+
+// Scratch holds the working memory of Decode, so that decoding does not allocate.
+type Scratch [aes.BlockSize]byte
+
+// Decode returns what id names and the key version that it was issued under.
+func (c *Codec) Decode(id []byte, scratch *Scratch) (Target, uint8, error) {
+	if len(id) != Len {
+		return Target{}, 0, ErrLength
+	}
+	version := id[0] >> versionShift
+	block := c.blocks[version]
+	if block == nil {
+		return Target{}, version, ErrVersion
+	}
+	plain := scratch[:]
+	block.Decrypt(plain, id[1:])
+	if binary.BigEndian.Uint32(plain[offsetCheck:]) != 0 {
+		return Target{}, version, ErrForged
+	}
+	addr := netip.AddrFrom4([4]byte(plain[offsetAddr:offsetPort]))
+	return Target{
+		Agent:   netip.AddrPortFrom(addr, binary.BigEndian.Uint16(plain[offsetPort:])),
+		Service: service.ID(binary.BigEndian.Uint16(plain[offsetService:])),
+		Counter: binary.BigEndian.Uint32(plain[offsetCounter:]),
+	}, version, nil
+}
--- /dev/null
+++ b/internal/envelope/open.go
@@ -0,0 +1,130 @@
+package envelope
+
+import (
+	"container/list"
+	"crypto/cipher"
+	"encoding/binary"
+	"sync"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/replay"
+)
+
+// MaxSenders is the number of senders that an Opener remembers. The sender that
+// was first heard longest ago is forgotten first.
+const MaxSenders = 65_536
+
+// Opener checks sealed datagrams of all senders. It is safe for concurrent use.
+//
+// Lock order: Opener.mu before senderState.mu; senderState.mu is never held
+// while taking Opener.mu.
+type Opener struct {
+	secrets [MaxVersions]*[KeyLen]byte
+	mu      sync.RWMutex
+	senders map[senderKey]*senderState
+	order   *list.List // of senderKey; the front was first heard last
+}
+
+type senderKey struct {
+	version uint8
+	sender  uint64
+}
+
+type senderState struct {
+	aead    cipher.AEAD
+	element *list.Element
+	mu      sync.Mutex
+	window  replay.Window
+}
+
+// NewOpener returns an opener that accepts datagrams under all keys.
+func NewOpener(keys []Key) (*Opener, error) {
+	opener := &Opener{senders: make(map[senderKey]*senderState), order: list.New()}
+	for _, key := range keys {
+		if key.Version >= MaxVersions {
+			return nil, errkind.New(errkind.Invalid, "key version is above 7", "number packet keys from 0 to 7")
+		}
+		secret := key.Secret
+		opener.secrets[key.Version] = &secret
+	}
+	return opener, nil
+}
+
+// Open checks datagram and returns the envelope, whose payload aliases it. The
+// candidates are stored in buffer.
+func (o *Opener) Open(datagram []byte, buffer *CandidateBuffer) (Envelope, error) {
+	if len(datagram) < headerLen+tagLen || len(datagram) > MaxLen || datagram[0] != magic {
+		return Envelope{}, ErrMalformed
+	}
+	key := senderKey{version: datagram[versionAt], sender: binary.BigEndian.Uint64(datagram[senderAt:])}
+	if key.version >= MaxVersions || o.secrets[key.version] == nil {
+		return Envelope{}, ErrKey
+	}
+	state, known, err := o.state(key)
+	if err != nil {
+		return Envelope{}, err
+	}
+	body := datagram[:len(datagram)-tagLen]
+	sequence := binary.BigEndian.Uint64(datagram[sequenceAt:])
+	if err := authenticate(state.aead, sequence, body, datagram[len(body):]); err != nil {
+		return Envelope{}, err
+	}
+	if !known {
+		state = o.remember(key, state)
+	}
+	state.mu.Lock()
+	fresh := state.window.Accept(sequence)
+	state.mu.Unlock()
+	if !fresh {
+		return Envelope{}, ErrReplayed
+	}
+	return parse(body, buffer[:0])
+}
+
+func authenticate(aead cipher.AEAD, sequence uint64, body, tag []byte) error {
+	var nonce [nonceLen]byte
+	binary.BigEndian.PutUint64(nonce[nonceLen-8:], sequence)
+	if _, err := aead.Open(nil, nonce[:], tag, body); err != nil {
+		return ErrTag
+	}
+	return nil
+}
+
+// state returns the state of a sender; known is false when it was not heard before.
+func (o *Opener) state(key senderKey) (state *senderState, known bool, err error) {
+	o.mu.RLock()
+	state, known = o.senders[key]
+	o.mu.RUnlock()
+	if known {
+		return state, true, nil
+	}
+	aead, err := senderAEAD(o.secrets[key.version][:], key.sender)
+	if err != nil {
+		return nil, false, ErrKey
+	}
+	return &senderState{aead: aead}, false, nil
+}
+
+// remember stores the state of a sender whose first datagram was authentic. If
+// another goroutine stored it meanwhile, that state is returned.
+func (o *Opener) remember(key senderKey, state *senderState) *senderState {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if stored, ok := o.senders[key]; ok {
+		return stored
+	}
+	if len(o.senders) >= MaxSenders {
+		o.forgetOldest()
+	}
+	state.element = o.order.PushFront(key)
+	o.senders[key] = state
+	return state
+}
+
+func (o *Opener) forgetOldest() {
+	oldest := o.order.Back()
+	key, ok := o.order.Remove(oldest).(senderKey)
+	if ok {
+		delete(o.senders, key)
+	}
+}
--- /dev/null
+++ b/internal/envelope/seal.go
@@ -0,0 +1,96 @@
+package envelope
+
+import (
+	"crypto/aes"
+	"crypto/cipher"
+	"crypto/hkdf"
+	"crypto/sha256"
+	"encoding/binary"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+)
+
+// KeyLen is the length of an envelope key in bytes.
+const KeyLen = 32
+
+// MaxVersions is the number of key versions.
+const MaxVersions = 8
+
+const (
+	senderKeyLen = 16
+	nonceLen     = 12
+	sequenceAt   = 12
+	senderAt     = 4
+	versionAt    = 2
+	senderInfo   = "almondledge envelope sender"
+)
+
+// Errors of Open, besides ErrMalformed.
+var (
+	// ErrKey means that the datagram names a key version that is not held.
+	ErrKey = errkind.New(errkind.Unauthenticated, "envelope names an unknown key version",
+		"give all processes the same packet keys before making a new one current")
+	// ErrTag means that the datagram was forged, damaged or sealed under another key.
+	ErrTag = errkind.New(errkind.Unauthenticated, "envelope fails authentication",
+		"check that both processes have the same packet key of this version")
+	// ErrReplayed means that the datagram was received before or is far too late.
+	ErrReplayed = errkind.New(errkind.Stale, "envelope was received before", "none; the datagram is dropped and counted")
+)
+
+// Key is one version of the fleet's envelope key.
+type Key struct {
+	Version uint8
+	Secret  [KeyLen]byte
+}
+
+// senderAEAD returns the authenticator of one sender. Each sender has a key of
+// its own, so that sequence numbers can serve as nonces.
+func senderAEAD(secret []byte, sender uint64) (cipher.AEAD, error) {
+	salt := binary.BigEndian.AppendUint64(nil, sender)
+	key, err := hkdf.Key(sha256.New, secret, salt, senderInfo, senderKeyLen)
+	if err != nil {
+		return nil, err
+	}
+	block, err := aes.NewCipher(key)
+	if err != nil {
+		return nil, err
+	}
+	return cipher.NewGCM(block)
+}
+
+// Sealer authenticates envelopes of one process. It is safe for concurrent use.
+type Sealer struct {
+	version  uint8
+	sender   uint64
+	sequence atomic.Uint64
+	aead     cipher.AEAD
+}
+
+// NewSealer returns a sealer under key. The sender number must differ between
+// all processes and between restarts of a process; use a random one.
+func NewSealer(key Key, sender uint64) (*Sealer, error) {
+	aead, err := senderAEAD(key.Secret[:], sender)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.Invalid, "bad envelope key", "use a key of 32 bytes")
+	}
+	return &Sealer{version: key.Version, sender: sender, aead: aead}, nil
+}
+
+// Seal appends the sealed datagram of e to dst, which must be empty.
+func (s *Sealer) Seal(dst []byte, e *Envelope) []byte {
+	sequence := s.sequence.Add(1)
+	dst = e.appendTo(dst[:0], s.version, s.sender, sequence)
+	// The nonce follows the message in spare capacity, so that it does not escape to the heap.
+	end := len(dst)
+	dst = append(dst, 0, 0, 0, 0)
+	dst = binary.BigEndian.AppendUint64(dst, sequence)
+	nonce := dst[end : end+nonceLen]
+	var tag [tagLen]byte
+	sealed := s.aead.Seal(tag[:0], nonce, nil, dst[:end])
+	return append(dst[:end], sealed...)
+}
+
+// CandidateBuffer holds the candidates of one opened envelope.
+type CandidateBuffer [MaxCandidates]netip.AddrPort
