Settings per role, with examples: first working version

Cause: processes need one parsed, validated source of addresses and keys. Change: internal/settings decodes JSON strictly and names the path and the remedy of each refused field. Examples hold placeholders, which are refused. Not run yet: tests of the refusals; they follow.

--- /dev/null
+++ b/internal/settings/keys.go
@@ -0,0 +1,219 @@
+package settings
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/base64"
+	"encoding/pem"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+)
+
+// Sizes of keys.
+const (
+	// SecretBytes is the length of the secret of a packet key.
+	SecretBytes = 32
+	// MaxKeyVersion is the highest version of a packet key; packets carry three bits.
+	MaxKeyVersion = 7
+	// minTokenLength is the shortest administration token, in characters.
+	minTokenLength = 16
+	// maxPEMBytes bounds a PEM file that a settings file names.
+	maxPEMBytes = 1 << 20
+)
+
+// Placeholder stands in the example files where a generated key belongs.
+const Placeholder = "GENERATE"
+
+// redacted is what a secret prints as.
+const redacted = "(secret)"
+
+const keysRemedy = "generate keys with: almondledge settings keys"
+
+// PacketKey is one version of the fleet's packet key.
+type PacketKey struct {
+	// Version is 0 to 7 and travels in each packet. A version in use never
+	// changes its secret. Required.
+	Version int `json:"version"`
+	// Secret is 32 random bytes in base64. Required.
+	Secret Secret `json:"secret"`
+}
+
+// Secret is key material; it prints as a fixed text.
+type Secret []byte
+
+// String hides the secret.
+func (Secret) String() string { return redacted }
+
+// GoString hides the secret.
+func (Secret) GoString() string { return redacted }
+
+// MarshalText returns the secret in base64, as settings files hold it.
+func (s Secret) MarshalText() ([]byte, error) {
+	return base64.StdEncoding.AppendEncode(nil, s), nil
+}
+
+// UnmarshalText reads a secret in base64.
+func (s *Secret) UnmarshalText(text []byte) error {
+	if string(text) == Placeholder {
+		return fmt.Errorf("still the placeholder %s of the example", Placeholder)
+	}
+	raw, err := base64.StdEncoding.Strict().DecodeString(string(text))
+	if err != nil {
+		return fmt.Errorf("not base64")
+	}
+	*s = raw
+	return nil
+}
+
+// Token is a bearer token; it prints as a fixed text.
+type Token string
+
+// String hides the token.
+func (Token) String() string { return redacted }
+
+// GoString hides the token.
+func (Token) GoString() string { return redacted }
+
+// TLS identifies a process to its peers. Each field is PEM text, or the path of
+// a PEM file, relative to the settings file; Load replaces paths by their text.
+type TLS struct {
+	// CA holds the certificates of the authorities that the fleet trusts.
+	CA string `json:"ca"`
+	// Certificate is the certificate of this process, with its role as a URI.
+	Certificate string `json:"certificate"`
+	// Key is the private key of the certificate.
+	Key Token `json:"key"`
+}
+
+// IsZero reports whether no field is set.
+func (t TLS) IsZero() bool { return t == TLS{} }
+
+// CallerTLS is the certificate that callers see. Each field is PEM text or the
+// path of a PEM file, relative to the settings file.
+type CallerTLS struct {
+	// Certificate is the certificate chain. Required.
+	Certificate string `json:"certificate"`
+	// Key is the private key. Required.
+	Key Token `json:"key"`
+}
+
+// readPEM returns text if it is PEM, and the content of the file it names otherwise.
+func readPEM(path, text, dir string) (string, error) {
+	if text == "" || strings.Contains(text, "-----BEGIN ") {
+		return text, nil
+	}
+	if text == Placeholder {
+		return "", invalid(path, "is still the placeholder "+Placeholder+" of the example", keysRemedy)
+	}
+	file := text
+	if !filepath.IsAbs(file) {
+		file = filepath.Join(dir, file)
+	}
+	info, err := os.Stat(file)
+	if err != nil {
+		return "", invalid(path, "is neither PEM text nor a readable file: "+err.Error(), "give PEM text or the path of a PEM file")
+	}
+	if !info.Mode().IsRegular() || info.Size() > maxPEMBytes {
+		return "", invalid(path, "names a file that is not a small regular file", "give the path of a PEM file")
+	}
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return "", invalid(path, "cannot be read: "+err.Error(), "make the PEM file readable for the process")
+	}
+	return string(raw), nil
+}
+
+func (t *TLS) resolve(path, dir string) error {
+	var err error
+	if t.CA, err = readPEM(path+".ca", t.CA, dir); err != nil {
+		return err
+	}
+	if t.Certificate, err = readPEM(path+".certificate", t.Certificate, dir); err != nil {
+		return err
+	}
+	key, err := readPEM(path+".key", string(t.Key), dir)
+	t.Key = Token(key)
+	return err
+}
+
+func (t *CallerTLS) resolve(path, dir string) error {
+	var err error
+	if t.Certificate, err = readPEM(path+".certificate", t.Certificate, dir); err != nil {
+		return err
+	}
+	key, err := readPEM(path+".key", string(t.Key), dir)
+	t.Key = Token(key)
+	return err
+}
+
+func (t TLS) validate(path string) error {
+	if t.CA == "" {
+		return missing(path+".ca", keysRemedy)
+	}
+	block, _ := pem.Decode([]byte(t.CA))
+	if block == nil || !x509.NewCertPool().AppendCertsFromPEM([]byte(t.CA)) {
+		return invalid(path+".ca", "holds no certificate", "give the certificate of the fleet's authority as PEM")
+	}
+	return validatePair(path, t.Certificate, t.Key)
+}
+
+func (t CallerTLS) validate(path string) error {
+	return validatePair(path, t.Certificate, t.Key)
+}
+
+func validatePair(path, certificate string, key Token) error {
+	if certificate == "" {
+		return missing(path+".certificate", keysRemedy)
+	}
+	if key == "" {
+		return missing(path+".key", keysRemedy)
+	}
+	if _, err := tls.X509KeyPair([]byte(certificate), []byte(key)); err != nil {
+		return invalid(path+".certificate", "does not go with "+path+".key: "+err.Error(), "give a certificate and its own private key as PEM")
+	}
+	return nil
+}
+
+func validatePacketKeys(keys []PacketKey) error {
+	if len(keys) == 0 {
+		return missing("packetKeys", keysRemedy)
+	}
+	seen := map[int]bool{}
+	for i, key := range keys {
+		path := fmt.Sprintf("packetKeys[%d]", i)
+		if key.Version < 0 || key.Version > MaxKeyVersion {
+			return invalid(path+".version", fmt.Sprintf("is %d", key.Version), fmt.Sprintf("use 0 to %d", MaxKeyVersion))
+		}
+		if seen[key.Version] {
+			return invalid(path+".version", fmt.Sprintf("repeats version %d", key.Version), "give each key a version of its own")
+		}
+		seen[key.Version] = true
+		if len(key.Secret) != SecretBytes {
+			return invalid(path+".secret", fmt.Sprintf("has %d bytes", len(key.Secret)), fmt.Sprintf("give %d random bytes in base64; %s", SecretBytes, keysRemedy))
+		}
+		if isUniform(key.Secret) {
+			return invalid(path+".secret", "is not random", keysRemedy)
+		}
+	}
+	return nil
+}
+
+// isUniform reports whether all bytes of a secret are the same.
+func isUniform(secret Secret) bool {
+	return strings.Count(string(secret), string(secret[:1])) == len(secret)
+}
+
+func validateToken(token Token) error {
+	if token == Placeholder {
+		return invalid("adminToken", "is still the placeholder "+Placeholder+" of the example", keysRemedy)
+	}
+	if token != "" && len(token) < minTokenLength {
+		return invalid("adminToken", "is too short", fmt.Sprintf("use at least %d characters; %s", minTokenLength, keysRemedy))
+	}
+	if strings.ContainsAny(string(token), " \t\r\n") {
+		return invalid("adminToken", "contains white space", keysRemedy)
+	}
+	return nil
+}
