--- /dev/null
+++ b/internal/agent/endpoint.go
@@ -0,0 +1,158 @@
+package agent
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/binary"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"github.com/almondledge/almondledge/internal/connid"
+	"github.com/almondledge/almondledge/internal/errkind"
+)
+
+const (
+	// initialPacketSize leaves room for the envelope on a path of 1,500 bytes.
+	initialPacketSize = 1200
+	// handshakeTimeout bounds the handshake of a flow.
+	handshakeTimeout = 5 * time.Second
+	// idleTimeout is how long a silent flow is kept.
+	idleTimeout = 5 * time.Minute
+	// maxStreams is the number of requests that a flow may have open at once.
+	maxStreams = 1000
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 64 << 10
+)
+
+var errFlowRefused = errkind.New(errkind.Overloaded, "no backend server of the service takes new flows",
+	"come back later, or raise the connections limit of the service")
+
+// idGenerator issues connection IDs that name this agent and its service.
+type idGenerator struct {
+	codec   *connid.Codec
+	self    netip.AddrPort
+	conn    *packetConn
+	counter atomic.Uint32
+}
+
+// GenerateConnectionID returns the next connection ID.
+func (g *idGenerator) GenerateConnectionID() (quic.ConnectionID, error) {
+	route := g.conn.route.Load()
+	if route == nil {
+		return quic.ConnectionID{}, errkind.New(errkind.Unavailable, "the agent has no service yet", "wait for configuration")
+	}
+	counter := g.counter.Add(1)
+	target := connid.Target{Agent: g.self, Service: route.id, Counter: counter}
+	id, err := g.codec.Encode(target, randomByte())
+	if err != nil {
+		return quic.ConnectionID{}, err
+	}
+	return quic.ConnectionIDFromBytes(id[:]), nil
+}
+
+// ConnectionIDLen returns the length of issued connection IDs.
+func (g *idGenerator) ConnectionIDLen() int {
+	return connid.Len
+}
+
+func randomByte() byte {
+	var one [1]byte
+	_, _ = rand.Read(one[:]) // never fails
+	return one[0]
+}
+
+func randomUint32() uint32 {
+	var four [4]byte
+	_, _ = rand.Read(four[:]) // never fails
+	return binary.BigEndian.Uint32(four[:])
+}
+
+// endpoint ends QUIC and HTTP/3 for the flows of one agent.
+type endpoint struct {
+	transport *quic.Transport
+	listener  *quic.EarlyListener
+	server    *http3.Server
+	refused   *refusals
+	metrics   *Metrics
+	// flows is the number of open flows, handshakes included.
+	flows atomic.Int64
+}
+
+type endpointConfig struct {
+	conn     *packetConn
+	codec    *connid.Codec
+	self     netip.AddrPort
+	resetKey quic.StatelessResetKey
+	tokenKey quic.TokenGeneratorKey
+	tls      *tls.Config
+	handler  http.Handler
+	refused  *refusals
+	metrics  *Metrics
+}
+
+func newEndpoint(config endpointConfig) (*endpoint, error) {
+	end := &endpoint{refused: config.refused, metrics: config.metrics}
+	generator := &idGenerator{codec: config.codec, self: config.self, conn: config.conn}
+	generator.counter.Store(randomUint32())
+	end.transport = &quic.Transport{
+		Conn:                  config.conn,
+		ConnectionIDGenerator: generator,
+		StatelessResetKey:     &config.resetKey,
+		TokenGeneratorKey:     &config.tokenKey,
+		ConnContext:           end.admitFlow,
+	}
+	quicConfig := &quic.Config{
+		InitialPacketSize:       initialPacketSize,
+		DisablePathMTUDiscovery: true,
+		HandshakeIdleTimeout:    handshakeTimeout,
+		MaxIdleTimeout:          idleTimeout,
+		MaxIncomingStreams:      maxStreams,
+		Allow0RTT:               false, // 0-RTT data can be replayed
+	}
+	listener, err := end.transport.ListenEarly(http3.ConfigureTLSConfig(config.tls), quicConfig)
+	if err != nil {
+		return nil, err
+	}
+	end.listener = listener
+	end.server = &http3.Server{Handler: config.handler, MaxHeaderBytes: maxHeaderBytes}
+	return end, nil
+}
+
+// admitFlow counts a new flow, or refuses it at once.
+func (e *endpoint) admitFlow(ctx context.Context, info *quic.ClientInfo) (context.Context, error) {
+	udp, ok := info.RemoteAddr.(*net.UDPAddr)
+	if ok && e.refused.take(udp.AddrPort(), time.Now()) {
+		return nil, errFlowRefused
+	}
+	e.flows.Add(1)
+	e.metrics.flows.Inc()
+	context.AfterFunc(ctx, func() { e.flows.Add(-1) })
+	return ctx, nil
+}
+
+// serve handles flows until the endpoint is closed.
+func (e *endpoint) serve() error {
+	err := e.server.ServeListener(e.listener)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, quic.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// drain sends GOAWAY on every flow and waits until all flows have ended or ctx ends.
+func (e *endpoint) drain(ctx context.Context) error {
+	return e.server.Shutdown(ctx)
+}
+
+// close ends all flows at once.
+func (e *endpoint) close() error {
+	return errors.Join(e.server.Close(), e.listener.Close(), e.transport.Close())
+}
--- /dev/null
+++ b/internal/agent/link.go
@@ -0,0 +1,170 @@
+package agent
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/connid"
+	"github.com/almondledge/almondledge/internal/envelope"
+	"github.com/almondledge/almondledge/internal/opening"
+	"github.com/almondledge/almondledge/internal/udpbatch"
+)
+
+// link receives envelopes and hands callers' packets to the packetConn.
+//
+// Lock order: mu is taken last and held only around the opening table.
+type link struct {
+	self    netip.AddrPort
+	socket  *udpbatch.Socket
+	sealer  *envelope.Sealer
+	opener  *envelope.Opener
+	codec   *connid.Codec
+	conn    *packetConn
+	metrics *Metrics
+	refused *refusals
+	// willing reports whether the agent takes new flows now.
+	willing func() bool
+	// handleControl gets the payload of control envelopes; it owns the slice.
+	handleControl func(from netip.AddrPort, payload []byte)
+
+	mu       sync.Mutex
+	openings *opening.Table
+}
+
+// run receives until the socket is closed.
+func (l *link) run() error {
+	reader := l.socket.NewReader()
+	var candidates envelope.CandidateBuffer
+	var scratch connid.Scratch
+	for {
+		count, err := reader.Read()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		for i := range count {
+			message, err := l.opener.Open(reader.Datagram(i), &candidates)
+			if err != nil {
+				l.metrics.countRefused(err)
+				continue
+			}
+			l.handle(reader.From(i), &message, &scratch)
+		}
+	}
+}
+
+func (l *link) handle(from netip.AddrPort, message *envelope.Envelope, scratch *connid.Scratch) {
+	switch message.Type {
+	case envelope.Control:
+		l.handleControl(from, append([]byte(nil), message.Payload...))
+	case envelope.Inbound:
+		l.handleInbound(message, scratch)
+	case envelope.Claim:
+		l.handleClaim(message)
+	case envelope.Outbound:
+		l.metrics.misdirected.Inc()
+	}
+}
+
+// handleInbound checks that a packet belongs to this agent's service before it
+// goes any further, whoever sent it.
+func (l *link) handleInbound(message *envelope.Envelope, scratch *connid.Scratch) {
+	route := l.conn.route.Load()
+	if route == nil || message.Service != route.id {
+		l.metrics.otherService.Inc()
+		return
+	}
+	header, err := connid.ParseHeader(message.Payload)
+	if err != nil {
+		l.metrics.malformed.Inc()
+		return
+	}
+	owner, _, err := l.codec.Decode(header.DestID, scratch)
+	switch {
+	case err == nil && owner.Service != route.id:
+		l.metrics.otherService.Inc()
+	case err == nil && owner.Agent != l.self:
+		l.metrics.misdirected.Inc()
+	case err == nil:
+		l.conn.deliver(message.Payload, message.Caller)
+	case header.Long:
+		l.handleOpening(message, header.DestID)
+	default:
+		l.metrics.malformed.Inc()
+	}
+}
+
+func (l *link) handleOpening(message *envelope.Envelope, destID []byte) {
+	packet := opening.Packet{
+		DestID:     destID,
+		Hops:       message.Hops,
+		Candidates: message.Candidates,
+		Caller:     message.Caller,
+		Front:      message.Front,
+		Payload:    message.Payload,
+	}
+	willing := l.willing()
+	l.mu.Lock()
+	fate, sends := l.openings.HandlePacket(time.Now(), packet, willing)
+	l.mu.Unlock()
+	l.metrics.countFate(fate)
+	if fate == opening.Refuse || message.OverLimit {
+		l.refused.add(message.Caller, time.Now())
+	}
+	if fate == opening.Deliver || fate == opening.Refuse {
+		l.conn.deliver(message.Payload, message.Caller)
+	}
+	l.sendAll(message, sends)
+}
+
+func (l *link) handleClaim(message *envelope.Envelope) {
+	route := l.conn.route.Load()
+	if route == nil || message.Service != route.id {
+		l.metrics.otherService.Inc()
+		return
+	}
+	if len(message.Candidates) != 1 {
+		l.metrics.malformed.Inc()
+		return
+	}
+	l.mu.Lock()
+	sends := l.openings.HandleClaim(time.Now(), message.Payload, message.Candidates[0])
+	l.mu.Unlock()
+	l.sendAll(message, sends)
+}
+
+// sendAll sends what the opening table decided, under the service of cause.
+func (l *link) sendAll(cause *envelope.Envelope, sends []opening.Send) {
+	var buffer [udpbatch.MaxDatagram]byte
+	for _, send := range sends {
+		message := envelope.Envelope{Service: cause.Service}
+		if send.Claim {
+			message.Type = envelope.Claim
+			message.Candidates = []netip.AddrPort{send.Owner}
+			message.Payload = send.DestID
+		} else {
+			message.Type = envelope.Inbound
+			message.Hops = send.Packet.Hops
+			message.OverLimit = cause.OverLimit
+			message.Caller = send.Packet.Caller
+			message.Front = send.Packet.Front
+			message.Candidates = send.Packet.Candidates
+			message.Payload = send.Packet.Payload
+		}
+		if err := l.socket.WriteTo(l.sealer.Seal(buffer[:0], &message), send.To); err != nil {
+			l.metrics.unsent.Inc()
+		}
+	}
+}
+
+// sendControl sends a message of the control plane.
+func (l *link) sendControl(to netip.AddrPort, payload []byte) error {
+	message := envelope.Envelope{Type: envelope.Control, Payload: payload}
+	var buffer [udpbatch.MaxDatagram]byte
+	return l.socket.WriteTo(l.sealer.Seal(buffer[:0], &message), to)
+}
--- /dev/null
+++ b/internal/balancer/forwarder.go
@@ -0,0 +1,201 @@
+// Package balancer forwards packets between the fabric and the agents. The
+// decisions are made by package routing; this package owns the sockets and the
+// worker goroutines.
+package balancer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/apex/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/almondledge/almondledge/internal/connid"
+	"github.com/almondledge/almondledge/internal/envelope"
+	"github.com/almondledge/almondledge/internal/fabriclink"
+	"github.com/almondledge/almondledge/internal/routing"
+	"github.com/almondledge/almondledge/internal/udpbatch"
+)
+
+// ForwarderConfig configures a Forwarder.
+type ForwarderConfig struct {
+	// Fabric is the socket that the fabric sends callers' packets to.
+	Fabric *udpbatch.Socket
+	// FabricAddr is where packets for callers are sent.
+	FabricAddr netip.AddrPort
+	// Link is the socket of envelopes, whose address identifies the balancer.
+	Link *udpbatch.Socket
+	// Codec decodes connection IDs.
+	Codec *connid.Codec
+	// Sealer and Opener protect envelopes.
+	Sealer *envelope.Sealer
+	Opener *envelope.Opener
+	// FlowSeed is the fleet's secret seed of flow hashes.
+	FlowSeed uint64
+	// Workers is the number of goroutines for each direction.
+	Workers int
+	// HandleControl gets the payload of control envelopes; it owns the slice.
+	HandleControl func(from netip.AddrPort, payload []byte)
+	// Log gets life-cycle events.
+	Log log.Interface
+	// Metrics counts packets.
+	Metrics *Metrics
+}
+
+// Forwarder moves packets between the fabric and the agents. It keeps no state
+// of flows, so any balancer can forward any packet.
+type Forwarder struct {
+	config  ForwarderConfig
+	table   atomic.Pointer[routing.Table]
+	limiter atomic.Pointer[flowLimiter]
+	// packets counts forwarded packets, to tell when the balancer is quiet.
+	packets atomic.Uint64
+}
+
+// NewForwarder returns a forwarder with an empty table.
+func NewForwarder(config ForwarderConfig) *Forwarder {
+	forwarder := &Forwarder{config: config}
+	forwarder.table.Store(routing.NewTable(nil))
+	forwarder.limiter.Store(newFlowLimiter(nil, nil))
+	return forwarder
+}
+
+// SetTable puts a table in force, with the bound of new flows a second by service.
+func (f *Forwarder) SetTable(table *routing.Table, limits []FlowLimit) {
+	f.limiter.Store(newFlowLimiter(limits, f.limiter.Load()))
+	f.table.Store(table)
+}
+
+// Table returns the table in force.
+func (f *Forwarder) Table() *routing.Table {
+	return f.table.Load()
+}
+
+// Packets returns the number of packets forwarded in both directions.
+func (f *Forwarder) Packets() uint64 {
+	return f.packets.Load()
+}
+
+// Run forwards packets until ctx ends; then it closes both sockets.
+func (f *Forwarder) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for range f.config.Workers {
+		group.Go(func() error { return ignoreClosed(f.forwardInbound()) })
+		group.Go(func() error { return ignoreClosed(f.forwardOutbound()) })
+	}
+	group.Go(func() error {
+		<-ctx.Done()
+		return errors.Join(f.config.Fabric.Close(), f.config.Link.Close())
+	})
+	return group.Wait()
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// forwardInbound moves packets from the fabric to the agents.
+func (f *Forwarder) forwardInbound() error {
+	reader := f.config.Fabric.NewReader()
+	writer := f.config.Link.NewWriter()
+	router := routing.NewRouter(f.config.Codec, f.config.FlowSeed)
+	for {
+		count, err := reader.Read()
+		if err != nil {
+			return err
+		}
+		table := f.table.Load()
+		for i := range count {
+			f.inbound(router, table, reader.Datagram(i), writer)
+		}
+		f.config.Metrics.countUnsent(writer.Flush())
+	}
+}
+
+func (f *Forwarder) inbound(router *routing.Router, table *routing.Table, datagram []byte, writer *udpbatch.Writer) {
+	packet, err := fabriclink.Decode(datagram)
+	if err != nil {
+		f.config.Metrics.foreignFabric.Inc()
+		return
+	}
+	var decision routing.Decision
+	router.Route(table, packet.Dst, packet.Payload, &decision)
+	f.config.Metrics.verdicts[decision.Verdict].Inc()
+	if decision.Verdict >= routing.DropMalformed {
+		return
+	}
+	message := envelope.Envelope{
+		Type:    envelope.Inbound,
+		Service: decision.Service,
+		Caller:  packet.Src,
+		Front:   packet.Dst,
+		Payload: packet.Payload,
+	}
+	if decision.Verdict == routing.ToCandidates {
+		message.Candidates = decision.Chosen[:decision.Count]
+		message.OverLimit = !f.limiter.Load().allow(decision.Service)
+	} else {
+		f.config.Metrics.keyVersions[decision.KeyVersion].Inc()
+	}
+	f.packets.Add(1)
+	sealed := f.config.Sealer.Seal(writer.Buffer(), &message)
+	f.config.Metrics.countUnsent(writer.Queue(sealed, decision.Chosen[0]))
+}
+
+// forwardOutbound moves packets from the agents to the fabric and hands on control messages.
+func (f *Forwarder) forwardOutbound() error {
+	reader := f.config.Link.NewReader()
+	writer := f.config.Fabric.NewWriter()
+	var candidates envelope.CandidateBuffer
+	for {
+		count, err := reader.Read()
+		if err != nil {
+			return err
+		}
+		for i := range count {
+			message, err := f.config.Opener.Open(reader.Datagram(i), &candidates)
+			if err != nil {
+				f.config.Metrics.countRefused(err)
+				continue
+			}
+			f.outbound(&message, reader.From(i), writer)
+		}
+		f.config.Metrics.countUnsent(writer.Flush())
+	}
+}
+
+func (f *Forwarder) outbound(message *envelope.Envelope, from netip.AddrPort, writer *udpbatch.Writer) {
+	switch message.Type {
+	case envelope.Control:
+		f.config.HandleControl(from, append([]byte(nil), message.Payload...))
+	case envelope.Outbound:
+		f.reply(message, writer)
+	case envelope.Inbound, envelope.Claim:
+		f.config.Metrics.misdirected.Inc()
+	}
+}
+
+// reply sends an agent's packet to its caller. A packet of one service never
+// leaves from the address of another. An address that is not known here yet is
+// let through, since the sealed envelope proves that an agent sent it.
+func (f *Forwarder) reply(message *envelope.Envelope, writer *udpbatch.Writer) {
+	known := f.table.Load().ByAddr(message.Front)
+	if known != nil && known.ID != message.Service {
+		f.config.Metrics.replyOtherService.Inc()
+		return
+	}
+	datagram, err := fabriclink.Encode(writer.Buffer(), message.Front, message.Caller, message.Payload)
+	if err != nil {
+		f.config.Metrics.foreignFabric.Inc()
+		return
+	}
+	f.packets.Add(1)
+	f.config.Metrics.replies.Inc()
+	f.config.Metrics.countUnsent(writer.Queue(datagram, f.config.FabricAddr))
+}
--- a/internal/connid/connid.go
+++ b/internal/connid/connid.go
@@ -23,8 +23,8 @@
 // MaxVersions is the number of key versions that fit into a connection ID.
 const MaxVersions = 8
 
-// KeyLen is the length of a key in bytes (AES-256).
-const KeyLen = 32
+// KeyLen is the length of a key in bytes (AES-128).
+const KeyLen = 16
 
 const versionShift = 5
 
@@ -86,7 +86,7 @@
 		}
 		block, err := aes.NewCipher(key.Secret[:])
 		if err != nil {
-			return nil, errkind.Wrap(err, errkind.Invalid, "bad connection ID key", "use a key of 32 bytes")
+			return nil, errkind.Wrap(err, errkind.Invalid, "bad connection ID key", "use a key of 16 bytes")
 		}
 		codec.blocks[key.Version] = block
 	}
