Store client, platform stand-in and change tickets: first working version

Cause: the configuration of the fleet lives in the platform's key-value service, and everything else reads it from there. Ruled out: the Go client modules of the well-known stores (not to be had); keys by service name (an ID must stay taken after a removal, so the ID names the key); deleting removed services (watchers would need deletion events, which an idle probe cannot see). Change: store.Store gains GetAll (one consistent read of several keys) and Revoke. internal/store/etcdapi holds the gateway's messages, internal/store/etcd the client, internal/standin/platform a stand-in with fault knobs, internal/ticket planning, submission, history and decoding. Conclusion: a ticket submitted over loopback reaches a watch.

--- /dev/null
+++ b/internal/store/etcd/client.go
@@ -0,0 +1,178 @@
+// Package etcd is a client of the platform's key-value service over the
+// published etcd v3 JSON/HTTP gateway.
+//
+// Every call has a deadline, takes a token from the node's call budget and is
+// counted by its operation and outcome. Reads are retried with jittered backoff
+// on the next endpoint. A write is sent at most once: it moves to another
+// endpoint only when the connection was refused, so that nothing was sent. What
+// an unanswered write did is for the caller to settle.
+//
+// The client remembers the highest revision and the cluster identity that it
+// has seen. A store that answers from an older state, or from another cluster,
+// is refused with an error of kind errkind.Stale until AcceptHistory.
+package etcd
+
+import (
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cenkalti/backoff/v5"
+	"golang.org/x/time/rate"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/store"
+)
+
+// Defaults of Config.
+const (
+	DefaultCallTimeout      = 2 * time.Second
+	DefaultReadTimeout      = 6 * time.Second
+	DefaultCallsPerSecond   = 20
+	DefaultBurst            = 60
+	DefaultMaxResponseBytes = 16 << 20
+	DefaultPageSize         = 500
+	DefaultWatchIdle        = 5 * time.Second
+	DefaultWatchGrace       = time.Second
+
+	dialTimeout         = time.Second
+	idleConnTimeout     = 90 * time.Second
+	idleConnsPerHost    = 4
+	firstRetryDelay     = 50 * time.Millisecond
+	longestRetryDelay   = time.Second
+	maxErrorBodyBytes   = 4096
+	tokensOfWaitingRead = 1
+)
+
+// Config configures a Client. Zero fields take the defaults above.
+type Config struct {
+	// Endpoints are base URLs such as http://127.0.0.1:2379.
+	Endpoints []string
+	// Transport carries the requests. Nil means a transport with a short dial timeout.
+	Transport http.RoundTripper
+	// CallTimeout bounds one attempt of a call.
+	CallTimeout time.Duration
+	// ReadTimeout bounds a read with all its attempts.
+	ReadTimeout time.Duration
+	// CallsPerSecond and Burst are the call budget of this node. A waiting watch
+	// costs one call a second.
+	CallsPerSecond float64
+	Burst          int
+	// MaxResponseBytes bounds one answer, or one message of a watch.
+	MaxResponseBytes int64
+	// PageSize is the number of entries that Range asks for at a time.
+	PageSize int
+	// WatchIdle is how long a watch may say nothing before the client asks the
+	// store whether it missed something.
+	WatchIdle time.Duration
+	// WatchGrace is how long a watch may then take to deliver what it missed.
+	WatchGrace time.Duration
+	// MinRevision is a revision that the store is known to have reached.
+	MinRevision int64
+	// NewBackOff returns the delays between the attempts of one read. Nil means
+	// exponential delays with jitter.
+	NewBackOff func() backoff.BackOff
+	// Metrics is where calls are counted. Nil means a set of its own.
+	Metrics *metrics.Set
+}
+
+// Client implements store.Store. It is safe for concurrent use and holds no locks.
+type Client struct {
+	cfg       Config
+	http      *http.Client
+	limiter   *rate.Limiter
+	preferred atomic.Uint32
+	history   history
+}
+
+var _ store.Store = (*Client)(nil)
+
+// New returns a client. It opens no connection.
+func New(cfg Config) (*Client, error) {
+	if len(cfg.Endpoints) == 0 {
+		return nil, errkind.New(errkind.Invalid, "no store endpoint is given", "list at least one, such as http://10.0.0.5:2379")
+	}
+	endpoints := make([]string, 0, len(cfg.Endpoints))
+	for _, endpoint := range cfg.Endpoints {
+		parsed, err := url.Parse(endpoint)
+		if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
+			return nil, errkind.Wrap(err, errkind.Invalid, "the store endpoint "+endpoint+" is not a URL",
+				"write it as http://ADDRESS:PORT or https://ADDRESS:PORT")
+		}
+		endpoints = append(endpoints, strings.TrimRight(endpoint, "/"))
+	}
+	cfg.Endpoints = endpoints
+	cfg = withDefaults(cfg)
+	c := &Client{
+		cfg:     cfg,
+		http:    &http.Client{Transport: cfg.Transport, CheckRedirect: refuseRedirect},
+		limiter: rate.NewLimiter(rate.Limit(cfg.CallsPerSecond), cfg.Burst),
+	}
+	c.history.observe(cfg.MinRevision)
+	return c, nil
+}
+
+func withDefaults(cfg Config) Config {
+	if cfg.Transport == nil {
+		cfg.Transport = newTransport()
+	}
+	if cfg.NewBackOff == nil {
+		cfg.NewBackOff = newBackOff
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewSet()
+	}
+	setDefault(&cfg.CallTimeout, DefaultCallTimeout)
+	setDefault(&cfg.ReadTimeout, DefaultReadTimeout)
+	setDefault(&cfg.CallsPerSecond, DefaultCallsPerSecond)
+	setDefault(&cfg.Burst, DefaultBurst)
+	setDefault(&cfg.MaxResponseBytes, DefaultMaxResponseBytes)
+	setDefault(&cfg.PageSize, DefaultPageSize)
+	setDefault(&cfg.WatchIdle, DefaultWatchIdle)
+	setDefault(&cfg.WatchGrace, DefaultWatchGrace)
+	return cfg
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func newTransport() http.RoundTripper {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		TLSHandshakeTimeout: dialTimeout,
+		IdleConnTimeout:     idleConnTimeout,
+		MaxIdleConnsPerHost: idleConnsPerHost,
+	}
+}
+
+func newBackOff() backoff.BackOff {
+	delays := backoff.NewExponentialBackOff()
+	delays.InitialInterval = firstRetryDelay
+	delays.MaxInterval = longestRetryDelay
+	return delays
+}
+
+// refuseRedirect keeps a write from being sent twice.
+func refuseRedirect(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
+}
+
+// endpoint returns the preferred endpoint and its position.
+func (c *Client) endpoint() (string, uint32) {
+	position := c.preferred.Load()
+	return c.cfg.Endpoints[int(position)%len(c.cfg.Endpoints)], position
+}
+
+// avoid prefers the endpoint after position from now on.
+func (c *Client) avoid(position uint32) {
+	c.preferred.CompareAndSwap(position, position+1)
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -78,20 +78,26 @@
 
 // Store is the platform's key-value service.
 //
-// Errors carry a kind of package errkind: NotApplied when the call certainly
-// had no effect, Unknown when a write may have taken effect, Stale when a watch
-// asks for compacted revisions.
+// Errors carry a kind of package errkind. A write that failed is NotApplied when
+// it certainly had no effect, and Unknown when it may have taken effect, now or
+// later. A read that failed is Unavailable, or Overloaded when the node's own
+// call budget is spent. Stale means that a watch asks for compacted revisions,
+// or that the store answers from an older state than it did before.
 type Store interface {
 	// Get returns the entry of key, or an error of kind NotFound.
 	Get(ctx context.Context, key string) (Entry, error)
 	// Range returns all entries whose key starts with prefix.
 	Range(ctx context.Context, prefix string) (Snapshot, error)
+	// GetAll returns those of the keys that exist, all read at one revision.
+	GetAll(ctx context.Context, keys []string) (Snapshot, error)
 	// Commit applies txn.
 	Commit(ctx context.Context, txn Txn) (TxnResult, error)
 	// Grant creates a lease.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	// KeepAlive renews a lease once; an error of kind NotFound means that it lapsed.
 	KeepAlive(ctx context.Context, id LeaseID) error
+	// Revoke ends a lease and removes the keys bound to it.
+	Revoke(ctx context.Context, id LeaseID) error
 	// Watch sends the changes under prefix from revision from on, until ctx ends
 	// or the watch fails; then it returns. It calls handle from one goroutine.
 	Watch(ctx context.Context, prefix string, from int64, handle func(WatchBatch)) error
--- /dev/null
+++ b/internal/ticket/record.go
@@ -0,0 +1,71 @@
+package ticket
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/service"
+	"github.com/almondledge/almondledge/internal/store"
+)
+
+// OutcomeAccepted is the outcome of a ticket that took effect. Refused tickets
+// get no number and leave no record in the store.
+const OutcomeAccepted = "accepted"
+
+// ServiceRecord is the value under ServiceKey.
+type ServiceRecord struct {
+	// Ticket is the number of the ticket that wrote the record.
+	Ticket int64 `json:"ticket"`
+	// ID and Name identify the service also after its removal.
+	ID   service.ID `json:"id"`
+	Name string     `json:"name"`
+	// Spec is the state in force, or nil when the service was removed.
+	Spec *service.Spec `json:"spec,omitempty"`
+}
+
+// Owner is the value under NameKey and AddressKey.
+type Owner struct {
+	ID service.ID `json:"id"`
+	// ReleasedAt is when the service was removed, or zero.
+	ReleasedAt time.Time `json:"releasedAt,omitzero"`
+}
+
+// Reference is the value under IDKey.
+type Reference struct {
+	Number int64 `json:"number"`
+	// Digest is the Digest of the ticket.
+	Digest string `json:"digest"`
+}
+
+// Record is the audit record of a ticket, the value under NumberKey.
+type Record struct {
+	Number    int64     `json:"number"`
+	ID        string    `json:"id"`
+	Submitter string    `json:"submitter"`
+	Time      time.Time `json:"time"`
+	Outcome   string    `json:"outcome"`
+	Digest    string    `json:"digest"`
+	Changes   []Change  `json:"changes"`
+	// Revision is the store revision of the ticket. It is not part of the value.
+	Revision int64 `json:"revision,omitempty"`
+}
+
+// Change is what a ticket did to one service.
+type Change struct {
+	Service string     `json:"service"`
+	ID      service.ID `json:"id"`
+	// Before is nil when the service was created, After when it was removed.
+	Before *service.Spec `json:"before,omitempty"`
+	After  *service.Spec `json:"after,omitempty"`
+}
+
+// unmarshal reads the value of an entry that almondledge wrote.
+func unmarshal(entry store.Entry, target any) error {
+	if err := json.Unmarshal(entry.Value, target); err != nil {
+		return errkind.Wrap(err, errkind.Invalid, fmt.Sprintf("the value of key %s is damaged", entry.Key),
+			"find out what other than almondledge writes under "+Root)
+	}
+	return nil
+}
