fabric stand-in: sprays datagrams over balancers, with fault knobs

Cause: demo, load and fault runs need the platform's fabric as a process. Random choices follow from a seed.

--- /dev/null
+++ b/internal/standin/fabric/control.go
@@ -0,0 +1,115 @@
+package fabric
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+)
+
+// maxControlBody is the largest body in bytes of a control request.
+const maxControlBody = 1 << 20
+
+// counters count datagrams since the start.
+type counters struct {
+	fromCallers    atomic.Uint64
+	fromBalancers  atomic.Uint64
+	dropped        atomic.Uint64
+	malformed      atomic.Uint64
+	unknownService atomic.Uint64
+}
+
+func (c *counters) countDropped(deliveries int) {
+	if deliveries == 0 {
+		c.dropped.Add(1)
+	}
+}
+
+// Counts are the datagrams counted since the start.
+type Counts struct {
+	// FromCallers counts datagrams received on service addresses.
+	FromCallers uint64 `json:"fromCallers"`
+	// FromBalancers counts datagrams received from balancers.
+	FromBalancers uint64 `json:"fromBalancers"`
+	// Dropped counts datagrams lost on purpose, cut, or without a balancer.
+	Dropped uint64 `json:"dropped"`
+	// Malformed counts datagrams with a bad header.
+	Malformed uint64 `json:"malformed"`
+	// UnknownService counts replies from an address that is no service address.
+	UnknownService uint64 `json:"unknownService"`
+}
+
+// ServiceRequest is the body of POST /services and of its answer.
+type ServiceRequest struct {
+	// Address is the service address; port zero picks a free port.
+	Address netip.AddrPort `json:"address"`
+}
+
+// Counts returns the counters.
+func (f *Fabric) Counts() Counts {
+	return Counts{
+		FromCallers:    f.counters.fromCallers.Load(),
+		FromBalancers:  f.counters.fromBalancers.Load(),
+		Dropped:        f.counters.dropped.Load(),
+		Malformed:      f.counters.malformed.Load(),
+		UnknownService: f.counters.unknownService.Load(),
+	}
+}
+
+// Handler returns the control endpoint: GET and PUT /knobs, GET and POST
+// /services, PUT /balancers, GET /counts.
+func (f *Fabric) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /knobs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, f.Knobs()) })
+	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, f.Counts()) })
+	mux.HandleFunc("GET /services", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, f.Services()) })
+	mux.HandleFunc("PUT /knobs", func(w http.ResponseWriter, r *http.Request) {
+		var k Knobs
+		if readJSON(w, r, &k) {
+			finish(w, f.SetKnobs(k), f.Knobs)
+		}
+	})
+	mux.HandleFunc("PUT /balancers", func(w http.ResponseWriter, r *http.Request) {
+		var balancers []Balancer
+		if readJSON(w, r, &balancers) {
+			finish(w, f.SetBalancers(balancers), f.Knobs)
+		}
+	})
+	mux.HandleFunc("POST /services", func(w http.ResponseWriter, r *http.Request) {
+		var req ServiceRequest
+		if readJSON(w, r, &req) {
+			bound, err := f.AddService(req.Address)
+			finish(w, err, func() ServiceRequest { return ServiceRequest{Address: bound} })
+		}
+	})
+	return mux
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxControlBody))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func finish[T any](w http.ResponseWriter, err error, answer func() T) {
+	if errkind.Is(err, errkind.Invalid) {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, answer())
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/standin/fabric/shaper.go
@@ -0,0 +1,76 @@
+package fabric
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// delivery is one copy of a datagram to be sent.
+type delivery struct {
+	to    netip.AddrPort
+	delay time.Duration
+}
+
+// shaper decides what becomes of each datagram. It is not safe for concurrent use.
+type shaper struct {
+	rng *rand.Rand
+}
+
+func newShaper(seed uint64) shaper {
+	return shaper{rng: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// spray appends the deliveries of a caller's datagram to out. Each copy goes to
+// a balancer of its own choice.
+func (s *shaper) spray(k *Knobs, out []delivery) []delivery {
+	if len(k.Balancers) == 0 {
+		return out
+	}
+	for range s.copies(k) {
+		b := k.Balancers[s.rng.IntN(len(k.Balancers))]
+		if !slices.Contains(k.CutTo, b.Addr) {
+			out = append(out, delivery{to: b.Addr, delay: s.delay(k, b.DataCentre)})
+		}
+	}
+	return out
+}
+
+// reply appends the deliveries of a balancer's datagram to out.
+func (s *shaper) reply(k *Knobs, balancer, caller netip.AddrPort, out []delivery) []delivery {
+	if slices.Contains(k.CutFrom, balancer) {
+		return out
+	}
+	dataCentre := k.dataCentre(balancer)
+	for range s.copies(k) {
+		out = append(out, delivery{to: caller, delay: s.delay(k, dataCentre)})
+	}
+	return out
+}
+
+func (s *shaper) copies(k *Knobs) int {
+	switch {
+	case s.happens(k.Loss):
+		return 0
+	case s.happens(k.Duplication):
+		return 2
+	default:
+		return 1
+	}
+}
+
+func (s *shaper) delay(k *Knobs, dataCentre string) time.Duration {
+	d := k.delay(dataCentre)
+	if k.JitterMillis > 0 {
+		d += millis(k.JitterMillis * s.rng.Float64())
+	}
+	if s.happens(k.Reordering) {
+		d += millis(k.ReorderMillis)
+	}
+	return d
+}
+
+func (s *shaper) happens(share float64) bool {
+	return share > 0 && s.rng.Float64() < share
+}
