--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -8,6 +8,7 @@
 
 // cli lists the sub-commands; each has a file of its own.
 type cli struct {
+	Standin standinCmd `cmd:"" help:"Run a stand-in for an outside system."`
 	Version versionCmd `cmd:"" help:"Print the version of the tool."`
 }
 
