--- /dev/null
+++ b/internal/pki/authority.go
@@ -0,0 +1,177 @@
+// Package pki makes and checks the certificates of the links between processes.
+//
+// Every process carries a certificate of the fleet's own authority that names
+// its role as a URI, such as almondledge:balancer. Peers are accepted by
+// authority and role, not by address, because instances are replaced at any time.
+package pki
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+)
+
+// Role is the role that a certificate grants.
+type Role string
+
+// Roles that certificates grant.
+const (
+	RoleBalancer Role = "balancer"
+	RoleAgent    Role = "agent"
+	RoleOperator Role = "operator"
+)
+
+// roleScheme is the URI scheme of roles in certificates.
+const roleScheme = "almondledge"
+
+// clockSkew is how long before its making a certificate is valid, for instances
+// whose clocks are behind.
+const clockSkew = 5 * time.Minute
+
+// serialBits is the length of random serial numbers.
+const serialBits = 127
+
+const caRemedy = "give the PEM files that almondledge settings keys wrote"
+
+// Pair is a certificate and its private key as PEM text.
+type Pair struct {
+	Certificate string
+	Key         string
+}
+
+// Authority signs the certificates of one fleet.
+type Authority struct {
+	pair        Pair
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+// NewAuthority makes an authority that is valid for lifetime from now on.
+func NewAuthority(now time.Time, lifetime time.Duration) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	template, err := newTemplate("almondledge authority", now, lifetime)
+	if err != nil {
+		return nil, err
+	}
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.MaxPathLenZero = true
+	template.KeyUsage = x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature
+	pair, err := sign(template, template, key, key)
+	if err != nil {
+		return nil, err
+	}
+	return LoadAuthority(pair)
+}
+
+// LoadAuthority reads an authority that NewAuthority made.
+func LoadAuthority(pair Pair) (*Authority, error) {
+	certificate, err := parseCertificate(pair.Certificate)
+	if err != nil {
+		return nil, err
+	}
+	block, _ := pem.Decode([]byte(pair.Key))
+	if block == nil {
+		return nil, errkind.New(errkind.Invalid, "the authority's key is not PEM", caRemedy)
+	}
+	parsed, err := x509.ParsePKCS8PrivateKey(block.Bytes)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.Invalid, "the authority's key", caRemedy)
+	}
+	key, ok := parsed.(*ecdsa.PrivateKey)
+	if !ok || !key.PublicKey.Equal(certificate.PublicKey) || !certificate.IsCA {
+		return nil, errkind.New(errkind.Invalid, "the authority's certificate and key do not go together", caRemedy)
+	}
+	return &Authority{pair: pair, certificate: certificate, key: key}, nil
+}
+
+// Pair returns the certificate and the private key of the authority.
+func (a *Authority) Pair() Pair { return a.pair }
+
+// Issue makes a certificate for a process of a role.
+func (a *Authority) Issue(role Role, now time.Time, lifetime time.Duration) (Pair, error) {
+	template, err := newTemplate("almondledge "+string(role), now, lifetime)
+	if err != nil {
+		return Pair{}, err
+	}
+	template.URIs = []*url.URL{{Scheme: roleScheme, Opaque: string(role)}}
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	return a.issue(template)
+}
+
+// IssueCaller makes the certificate that callers of a service see, for host
+// names and addresses. It grants no role.
+func (a *Authority) IssueCaller(names []string, addresses []netip.Addr, now time.Time, lifetime time.Duration) (Pair, error) {
+	template, err := newTemplate("almondledge service", now, lifetime)
+	if err != nil {
+		return Pair{}, err
+	}
+	template.DNSNames = names
+	for _, address := range addresses {
+		template.IPAddresses = append(template.IPAddresses, net.IP(address.AsSlice()))
+	}
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}
+	return a.issue(template)
+}
+
+func (a *Authority) issue(template *x509.Certificate) (Pair, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Pair{}, err
+	}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	return sign(template, a.certificate, key, a.key)
+}
+
+func newTemplate(name string, now time.Time, lifetime time.Duration) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, err
+	}
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-clockSkew),
+		NotAfter:     now.Add(lifetime),
+	}, nil
+}
+
+func sign(template, parent *x509.Certificate, key, parentKey *ecdsa.PrivateKey) (Pair, error) {
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, key.Public(), parentKey)
+	if err != nil {
+		return Pair{}, err
+	}
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Pair{}, err
+	}
+	return Pair{
+		Certificate: string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})),
+		Key:         string(pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: keyDER})),
+	}, nil
+}
+
+func parseCertificate(text string) (*x509.Certificate, error) {
+	block, _ := pem.Decode([]byte(text))
+	if block == nil {
+		return nil, errkind.New(errkind.Invalid, "the certificate is not PEM", caRemedy)
+	}
+	certificate, err := x509.ParseCertificate(block.Bytes)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.Invalid, "the certificate", caRemedy)
+	}
+	return certificate, nil
+}
