--- /dev/null
+++ b/internal/control/budget.go
@@ -0,0 +1,125 @@
+package control
+
+import "time"
+
+// Class is the priority of control traffic.
+type Class uint8
+
+// Classes of control traffic.
+const (
+	// ClassHeartbeat has a reserved share that no other class can use.
+	ClassHeartbeat Class = iota
+	// ClassUrgent carries drains, suspicions and deaths.
+	ClassUrgent
+	// ClassTicket carries news of change tickets.
+	ClassTicket
+	// ClassMember carries joins, recoveries and repair.
+	ClassMember
+	// ClassLoad carries load reports.
+	ClassLoad
+	// Classes is the number of classes.
+	Classes
+)
+
+// String returns the class as metrics show it.
+func (c Class) String() string {
+	names := [...]string{"heartbeat", "urgent", "ticket", "member", "load"}
+	if int(c) >= len(names) {
+		return "invalid"
+	}
+	return names[c]
+}
+
+// DatagramOverhead is what the budget counts on top of each payload for the
+// sealed envelope and the UDP and IP headers, in bytes.
+const DatagramOverhead = 64
+
+// Shares of the budget.
+const (
+	// burstShare of the ceiling is the burst; the rest is the rate. Together they
+	// bound what is sent in any second.
+	burstShare = 0.25
+	// heartbeatShare of burst and rate is reserved for heartbeats.
+	heartbeatShare = 0.45
+)
+
+// floors are the shares of the common burst that a class must leave for the
+// classes before it. Urgent traffic may use all of it.
+var floors = [Classes]float64{
+	ClassHeartbeat: 0.6,
+	ClassUrgent:    0,
+	ClassTicket:    0.2,
+	ClassMember:    0.4,
+	ClassLoad:      0.5,
+}
+
+// Usage counts control traffic of one class.
+type Usage struct {
+	Datagrams, Bytes uint64
+	// Deferred counts datagrams that the budget held back.
+	Deferred uint64
+}
+
+// budget is a pair of token buckets: one for heartbeats, one for all the rest.
+type budget struct {
+	reserved, common tokenBucket
+	usage            [Classes]Usage
+}
+
+type tokenBucket struct {
+	rate, burst, tokens float64
+	last                time.Time
+}
+
+func newBudget(now time.Time, bytesPerSecond int) *budget {
+	ceiling := float64(bytesPerSecond)
+	return &budget{
+		reserved: newTokenBucket(now, ceiling*heartbeatShare),
+		common:   newTokenBucket(now, ceiling*(1-heartbeatShare)),
+	}
+}
+
+func newTokenBucket(now time.Time, ceiling float64) tokenBucket {
+	burst := ceiling * burstShare
+	return tokenBucket{rate: ceiling - burst, burst: burst, tokens: burst, last: now}
+}
+
+func (b *tokenBucket) refill(now time.Time) {
+	if elapsed := now.Sub(b.last); elapsed > 0 {
+		b.tokens = min(b.burst, b.tokens+b.rate*elapsed.Seconds())
+		b.last = now
+	}
+}
+
+// take uses size tokens if that leaves at least floor of the burst.
+func (b *tokenBucket) take(size, floor float64) bool {
+	if b.tokens-size < floor*b.burst {
+		return false
+	}
+	b.tokens -= size
+	return true
+}
+
+// available returns the largest payload of which class may send so many copies now, in bytes.
+func (b *budget) available(now time.Time, class Class, copies int) int {
+	b.common.refill(now)
+	free := b.common.tokens - floors[class]*b.common.burst
+	free = free/float64(copies) - DatagramOverhead
+	return min(MaxPayload, max(0, int(free)))
+}
+
+// allow reports whether a payload of size bytes may be sent now, and counts it.
+func (b *budget) allow(now time.Time, class Class, size int) bool {
+	cost := float64(size + DatagramOverhead)
+	b.reserved.refill(now)
+	b.common.refill(now)
+	ok := class == ClassHeartbeat && b.reserved.take(cost, 0)
+	ok = ok || b.common.take(cost, floors[class])
+	if !ok {
+		b.usage[class].Deferred++
+		return false
+	}
+	b.usage[class].Datagrams++
+	b.usage[class].Bytes += uint64(cost)
+	return true
+}
--- /dev/null
+++ b/internal/control/detector.go
@@ -0,0 +1,364 @@
+package control
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/member"
+	"github.com/almondledge/almondledge/internal/presence"
+)
+
+// Rules of failure detection.
+const (
+	// doubtTime is the silence of everybody after which a node doubts itself
+	// rather than the others.
+	doubtTime = time.Second
+	// doubtLimit is how long a node doubts itself.
+	doubtLimit = 10 * time.Second
+	// relayLifetime is how long the answer to a relayed probe is waited for.
+	relayLifetime = time.Second
+)
+
+// observation is one agent whose heartbeats this balancer expects.
+type observation struct {
+	addr      netip.AddrPort
+	lastHeard time.Time
+	// announced is set while the agent announces itself to this balancer.
+	announced bool
+	// revision is the catalog revision that the agent announced.
+	revision int64
+	probing  bool
+}
+
+// probe is a series of pings to one member, direct ones first.
+type probe struct {
+	addr     netip.AddrPort
+	sequence uint32
+	attempt  int
+	next     time.Time
+}
+
+// relayedProbe is a ping sent for another balancer.
+type relayedProbe struct {
+	origin   netip.AddrPort
+	sequence uint32
+	until    time.Time
+}
+
+// suspicion is a member of this data centre that has time to answer until it is dead.
+type suspicion struct {
+	addr        netip.AddrPort
+	incarnation uint64
+	deadline    time.Time
+}
+
+// detector finds failed members of the data centre. Silence leads to a probe,
+// a failed probe to a suspicion that others hear of, and only a suspicion that
+// its subject leaves unanswered leads to death.
+type detector struct {
+	b            *balancer
+	observed     map[netip.AddrPort]*observation
+	order        []*observation
+	probes       []*probe
+	relayed      map[uint32]relayedProbe
+	suspicions   []suspicion
+	lastInbound  time.Time
+	nextBalancer time.Time
+	// round is the shuffled order in which balancers are probed.
+	round []netip.AddrPort
+}
+
+func newDetector(now time.Time, b *balancer) *detector {
+	return &detector{
+		b:            b,
+		observed:     map[netip.AddrPort]*observation{},
+		relayed:      map[uint32]relayedProbe{},
+		lastInbound:  now,
+		nextBalancer: now.Add(b.n.jitter(b.n.cfg.Timing.ProbePeriod)),
+	}
+}
+
+// heard notes that this node can receive.
+func (d *detector) heard(now time.Time, from netip.AddrPort) {
+	d.lastInbound = now
+	if o := d.observed[from]; o != nil && !d.contested(from) {
+		o.lastHeard = now
+	}
+}
+
+// contested reports whether a member is held suspect or dead, so that its old
+// messages do not count as signs of life.
+func (d *detector) contested(a netip.AddrPort) bool {
+	r := d.b.table.Get(a)
+	return r == nil || r.State == member.Suspect || r.State == member.Dead
+}
+
+func (d *detector) observes(a netip.AddrPort) bool { return d.observed[a] != nil }
+
+// observe starts to expect heartbeats of an agent.
+func (d *detector) observe(now time.Time, a netip.AddrPort) *observation {
+	o := d.observed[a]
+	if o == nil {
+		o = &observation{addr: a, lastHeard: now}
+		d.observed[a] = o
+		d.order = append(d.order, o)
+	}
+	return o
+}
+
+// announced notes a trusted heartbeat.
+func (d *detector) announced(now time.Time, m member.Member, revision int64) {
+	o := d.observe(now, m.Addr)
+	o.lastHeard = now
+	o.announced = true
+	o.revision = max(o.revision, revision)
+}
+
+// changed follows a new state of a member.
+func (d *detector) changed(now time.Time, m member.Member) {
+	if m.State == member.Suspect && m.DataCentre == d.b.n.self.DataCentre {
+		deadline := now.Add(d.b.n.cfg.Timing.SuspectTimeout)
+		d.suspicions = append(d.suspicions, suspicion{m.Addr, m.Incarnation, deadline})
+	}
+}
+
+func (d *detector) tick(now time.Time) {
+	d.checkSilence(now)
+	d.probeBalancer(now)
+	d.continueProbes(now)
+	d.checkSuspicions(now)
+	for sequence, r := range d.relayed {
+		if !now.Before(r.until) {
+			delete(d.relayed, sequence)
+		}
+	}
+}
+
+// checkSilence probes agents that were not heard for a while, and stops
+// expecting anything of dead ones.
+func (d *detector) checkSilence(now time.Time) {
+	d.order = slices.DeleteFunc(d.order, func(o *observation) bool {
+		r := d.b.table.Get(o.addr)
+		if r != nil && r.State != member.Dead {
+			return false
+		}
+		delete(d.observed, o.addr)
+		return true
+	})
+	for _, o := range d.order {
+		silent := now.Sub(o.lastHeard) >= d.b.n.cfg.Timing.SilenceTimeout
+		if silent && !o.probing && d.b.table.Get(o.addr).State != member.Suspect {
+			o.probing = true
+			d.startProbe(now, o.addr)
+		}
+	}
+}
+
+// probeBalancer probes the next balancer of the data centre, each once in a round.
+func (d *detector) probeBalancer(now time.Time) {
+	if now.Before(d.nextBalancer) {
+		return
+	}
+	d.nextBalancer = now.Add(d.b.n.cfg.Timing.ProbePeriod)
+	if len(d.round) == 0 {
+		d.newRound()
+	}
+	for len(d.round) > 0 {
+		a := d.round[0]
+		d.round = d.round[1:]
+		if r := d.b.table.Get(a); r != nil && isReachable(r) {
+			d.startProbe(now, a)
+			return
+		}
+	}
+}
+
+func (d *detector) newRound() {
+	for _, r := range d.b.table.Balancers(d.b.n.self.DataCentre) {
+		if r.Addr != d.b.n.self.Addr && isReachable(r) {
+			d.round = append(d.round, r.Addr)
+		}
+	}
+	d.b.n.cfg.Rand.Shuffle(len(d.round), func(i, j int) { d.round[i], d.round[j] = d.round[j], d.round[i] })
+}
+
+func (d *detector) startProbe(now time.Time, a netip.AddrPort) {
+	for _, p := range d.probes {
+		if p.addr == a {
+			return
+		}
+	}
+	p := &probe{addr: a, sequence: d.b.n.nextSequence()}
+	d.probes = append(d.probes, p)
+	d.stepProbe(now, p)
+}
+
+// stepProbe sends the next attempt: a direct ping, and from the second attempt
+// on also requests to other balancers, whose path may work when ours does not.
+func (d *detector) stepProbe(now time.Time, p *probe) {
+	n := d.b.n
+	ping := &Ping{Sequence: p.sequence, Self: n.record(), Revision: n.catalog.Revision()}
+	if p.attempt == 0 {
+		ping.Updates = d.b.gossip.piggyback()
+	}
+	n.send(now, ClassHeartbeat, p.addr, ping)
+	if p.attempt > 0 {
+		for range indirectProbes {
+			if r := d.b.randomBalancer(n.self.DataCentre); r != nil && r.Addr != p.addr {
+				n.send(now, ClassHeartbeat, r.Addr, &PingRequest{Sequence: p.sequence, Target: addr(p.addr), Revision: n.catalog.Revision()})
+			}
+		}
+	}
+	p.attempt++
+	p.next = now.Add(n.cfg.Timing.ProbeStep)
+}
+
+// continueProbes sends further attempts and ends the probes that have failed.
+func (d *detector) continueProbes(now time.Time) {
+	var failed []*probe
+	d.probes = slices.DeleteFunc(d.probes, func(p *probe) bool {
+		if now.Before(p.next) {
+			return false
+		}
+		if p.attempt < probeAttempts {
+			d.stepProbe(now, p)
+			return false
+		}
+		failed = append(failed, p)
+		return true
+	})
+	for _, p := range failed {
+		d.probeFailed(now, p.addr)
+	}
+}
+
+// probeFailed declares a silent member suspect. One that was draining or leaving
+// has no new work to lose and is dead at once.
+func (d *detector) probeFailed(now time.Time, a netip.AddrPort) {
+	if o := d.observed[a]; o != nil {
+		o.probing = false
+	}
+	r := d.b.table.Get(a)
+	if r == nil || d.doubtsItself(now) {
+		return
+	}
+	m := r.Member
+	switch m.State {
+	case member.Warming, member.Serving:
+		m.State = member.Suspect
+		d.b.n.counters.Suspicions++
+	case member.Draining, member.Leaving:
+		m.State = member.Dead
+		d.b.n.counters.Deaths++
+	default:
+		return
+	}
+	d.b.learn(now, m)
+}
+
+// doubtsItself reports whether this node hears nobody at all though it expects
+// to hear several: then its own link is the likelier fault.
+func (d *detector) doubtsItself(now time.Time) bool {
+	expected := len(d.order) + len(d.b.table.Balancers(d.b.n.self.DataCentre)) - 1
+	silence := now.Sub(d.lastInbound)
+	return expected > 1 && silence >= doubtTime && silence < doubtLimit
+}
+
+// checkSuspicions declares members dead that have not answered a suspicion.
+func (d *detector) checkSuspicions(now time.Time) {
+	var due []suspicion
+	d.suspicions = slices.DeleteFunc(d.suspicions, func(s suspicion) bool {
+		if now.Before(s.deadline) {
+			return false
+		}
+		due = append(due, s)
+		return true
+	})
+	for _, s := range due {
+		r := d.b.table.Get(s.addr)
+		if r == nil || r.State != member.Suspect || r.Incarnation != s.incarnation {
+			continue
+		}
+		m := r.Member
+		m.State = member.Dead
+		d.b.n.counters.Deaths++
+		d.b.learn(now, m)
+	}
+}
+
+// relay pings a member for another balancer.
+func (d *detector) relay(now time.Time, origin netip.AddrPort, m *PingRequest) {
+	sequence := d.b.n.nextSequence()
+	d.relayed[sequence] = relayedProbe{origin, m.Sequence, now.Add(relayLifetime)}
+	ping := &Ping{Sequence: sequence, Self: d.b.n.record(), Revision: d.b.n.catalog.Revision()}
+	d.b.n.send(now, ClassHeartbeat, netip.AddrPort(m.Target), ping)
+}
+
+// answered takes the answer to a probe, or passes it on to the one who asked for it.
+func (d *detector) answered(now time.Time, m member.Member, ack *PingAck) {
+	if r, ok := d.relayed[ack.Sequence]; ok {
+		delete(d.relayed, ack.Sequence)
+		passed := *ack
+		passed.Sequence = r.sequence
+		passed.Updates = nil
+		d.b.n.send(now, ClassHeartbeat, r.origin, &passed)
+		return
+	}
+	d.probes = slices.DeleteFunc(d.probes, func(p *probe) bool {
+		return p.addr == m.Addr && p.sequence == ack.Sequence
+	})
+	o := d.observed[m.Addr]
+	if o == nil {
+		return
+	}
+	o.probing = false
+	if known := d.b.table.Get(m.Addr); known != nil && contests(known.Member, m) {
+		return
+	}
+	d.b.learn(now, m)
+	o.lastHeard = now
+	if ack.Released {
+		d.release(o)
+	}
+}
+
+// release stops observing an agent that announces itself to other balancers,
+// unless this node is one of its owners.
+func (d *detector) release(o *observation) {
+	o.announced = false
+	owners := d.b.owners(o.addr, d.b.n.self.DataCentre)
+	if slices.Contains(owners, d.b.n.self.Addr) {
+		return
+	}
+	delete(d.observed, o.addr)
+	d.order = slices.DeleteFunc(d.order, func(other *observation) bool { return other == o })
+}
+
+// thaw forgives all silence, because it was this process that did not run.
+func (d *detector) thaw(now time.Time) {
+	d.lastInbound = now
+	d.probes = nil
+	for _, o := range d.order {
+		o.lastHeard = now
+		o.probing = false
+	}
+	for i := range d.suspicions {
+		d.suspicions[i].deadline = now.Add(d.b.n.cfg.Timing.SuspectTimeout)
+	}
+}
+
+// announcedAgents calls visit for each agent that announces itself to this
+// balancer and belongs to it as the first of its owners.
+func (d *detector) announcedAgents(visit func(*observation, *presence.Record)) {
+	for _, o := range d.order {
+		r := d.b.table.Get(o.addr)
+		if r == nil || r.State == member.Dead || !o.announced {
+			continue
+		}
+		owners := d.b.owners(o.addr, r.DataCentre)
+		if len(owners) > 0 && owners[0] == d.b.n.self.Addr {
+			visit(o, r)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/fleet_test.go
@@ -0,0 +1,185 @@
+package control_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/almondledge/almondledge/internal/catalog"
+	"github.com/almondledge/almondledge/internal/control/memnet"
+	"github.com/almondledge/almondledge/internal/member"
+	"github.com/almondledge/almondledge/internal/service"
+)
+
+const booking service.ID = 1
+
+// fleet is a small deployment on a memnet.
+type fleet struct {
+	*memnet.Net
+	balancers, agents []*memnet.Host
+	seeds             []netip.AddrPort
+}
+
+// newFleet starts balancers and agents in each data centre and lets them settle.
+func newFleet(seed uint64, dataCentres, balancers, agents int) *fleet {
+	f := &fleet{Net: memnet.New(seed)}
+	for dc := range dataCentres {
+		f.seeds = append(f.seeds, balancerAddr(dc, 0))
+	}
+	for dc := range dataCentres {
+		for i := range balancers {
+			f.balancers = append(f.balancers, f.addBalancer(dc, i, 1))
+		}
+	}
+	f.Run(8 * time.Second)
+	for dc := range dataCentres {
+		for i := range agents {
+			f.agents = append(f.agents, f.addAgent(dc, i, 1))
+		}
+	}
+	f.Run(10 * time.Second)
+	return f
+}
+
+func (f *fleet) addBalancer(dc, i int, incarnation uint64) *memnet.Host {
+	return f.Add(memnet.Balancer(balancerAddr(dc, i), dcName(dc), incarnation, f.seeds...))
+}
+
+func (f *fleet) addAgent(dc, i int, incarnation uint64) *memnet.Host {
+	cfg := memnet.Balancer(agentAddr(dc, i), dcName(dc), incarnation, balancerAddr(dc, 0))
+	cfg.Self.Kind, cfg.Self.Service, cfg.Self.Capacity = member.Agent, booking, 5
+	return f.Add(cfg)
+}
+
+func dcName(dc int) string { return fmt.Sprintf("dc-%d", dc) }
+
+func balancerAddr(dc, i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(dc), 1, byte(i + 1)}), 4433)
+}
+
+func agentAddr(dc, i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(dc), 2, byte(i + 1)}), 4434)
+}
+
+// willing reports whether a balancer offers new flows to an agent.
+func (f *fleet) willing(balancer, agent *memnet.Host) bool {
+	for _, c := range balancer.Node.Table().Candidates(f.Now, booking) {
+		if c.Addr == agent.Addr {
+			return true
+		}
+	}
+	return false
+}
+
+// allBalancers reports whether ok holds at each running balancer.
+func (f *fleet) allBalancers(ok func(*memnet.Host) bool) bool {
+	for _, b := range f.balancers {
+		if !b.Down && !b.Frozen && !ok(b) {
+			return false
+		}
+	}
+	return true
+}
+
+// allWilling reports whether each running balancer offers flows to each of the agents.
+func (f *fleet) allWilling(agents ...*memnet.Host) bool {
+	return f.allBalancers(func(b *memnet.Host) bool {
+		for _, a := range agents {
+			if !f.willing(b, a) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// noneWilling reports whether no running balancer offers flows to the agent.
+func (f *fleet) noneWilling(agent *memnet.Host) bool {
+	return f.allBalancers(func(b *memnet.Host) bool { return !f.willing(b, agent) })
+}
+
+// applyTicket brings a revision into force at one balancer, as its watcher would.
+func (f *fleet) applyTicket(at *memnet.Host, from, to int64) error {
+	spec := service.Spec{Name: "booking", ID: booking, Limits: service.Limits{Connections: int(to)}}
+	d := catalog.Delta{From: from, To: to, Entries: []catalog.Entry{{ID: booking, ModRevision: to, Spec: spec}}}
+	out, err := at.Node.ApplyStore(d)
+	f.Perform(at, out)
+	return err
+}
+
+func TestFleetSettles(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 2, 4, 6)
+	is.True(f.allWilling(f.agents...))
+	is.NoErr(f.applyTicket(f.balancers[0], 0, 7))
+	took, ok := f.RunUntil(16*time.Second, func() bool {
+		for _, h := range f.Hosts {
+			if h.Node.Catalog().Revision() < 7 {
+				return false
+			}
+		}
+		return true
+	})
+	t.Log("ticket in force everywhere after", took)
+	is.True(ok)
+	for _, b := range f.balancers {
+		is.True(b.Node.Ready())
+	}
+	for _, a := range f.agents {
+		is.Equal(len(a.Node.ReplyTargets(f.Now)), 3)
+		is.True(len(a.Node.Peers(f.Now)) > 0)
+	}
+}
+
+func TestDrainReachesEveryBalancerInTime(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2, 3, 8, 6)
+	f.Loss = 0.1
+	f.Perform(f.agents[3], f.agents[3].Node.SetState(f.Now, member.Draining))
+	took, ok := f.RunUntil(3*time.Second, func() bool { return f.noneWilling(f.agents[3]) })
+	t.Log("drain known everywhere after", took)
+	is.True(ok)
+}
+
+func TestDeadHostGetsNoNewFlows(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3, 2, 8, 6)
+	f.Loss = 0.1
+	f.agents[2].Down = true
+	took, ok := f.RunUntil(3*time.Second, func() bool { return f.noneWilling(f.agents[2]) })
+	t.Log("death known everywhere after", took)
+	is.True(ok)
+}
+
+func TestLossCausesNoFlapping(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4, 2, 8, 12)
+	f.Loss = 0.1
+	f.Run(2 * time.Minute)
+	for _, b := range f.balancers {
+		is.Equal(b.Node.Counters().Suspicions, uint64(0))
+	}
+	is.True(f.allWilling(f.agents...))
+}
+
+func TestDeadBalancerLeavesReplySet(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(5, 1, 6, 6)
+	f.balancers[1].Down = true
+	f.Run(2 * time.Second)
+	for _, a := range f.agents {
+		for _, b := range a.Node.ReplyTargets(f.Now) {
+			is.True(b != f.balancers[1].Addr)
+		}
+	}
+	for _, b := range f.balancers {
+		b.Down = true
+	}
+	f.Run(20 * time.Second)
+	for _, a := range f.agents {
+		is.True(len(a.Node.ReplyTargets(f.Now)) > 0) // the last known set, rather than none
+	}
+}
--- /dev/null
+++ b/internal/control/gossip.go
@@ -0,0 +1,259 @@
+package control
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/member"
+)
+
+// Sizes in gossip messages, in bytes, used to fill messages without encoding twice.
+const (
+	gossipHeaderSize = 90
+	memberBaseSize   = 46
+	loadSize         = 30
+	// piggybackMembers is the number of changes that a probe carries.
+	piggybackMembers = 4
+)
+
+// loadPeriod is the time between two messages that carry load reports only.
+const loadPeriod = time.Second
+
+// loadSends is the number of times that a node passes a load report on.
+const loadSends = 4
+
+// rumor is a change that is being passed on.
+type rumor struct {
+	m      member.Member
+	urgent bool
+	// left is the number of sends left.
+	left int
+	// queued tells whether the rumor is in a queue.
+	queued bool
+}
+
+// loadRumor is a load report that is being passed on.
+type loadRumor struct {
+	report loadReport
+	left   int
+	queued bool
+}
+
+// gossip spreads changes among balancers: each is sent a bounded number of
+// times, the queues are served in turn, and urgent ones go first.
+type gossip struct {
+	b      *balancer
+	rumors map[netip.AddrPort]*rumor
+	urgent []*rumor
+	normal []*rumor
+
+	loadRumors map[netip.AddrPort]*loadRumor
+	loads      []*loadRumor
+
+	// revisionLeft is the number of sends left for the news of a catalog revision.
+	revisionLeft int
+	nextNormal   time.Time
+	nextLoad     time.Time
+}
+
+func newGossip(b *balancer) *gossip {
+	return &gossip{b: b, rumors: map[netip.AddrPort]*rumor{}, loadRumors: map[netip.AddrPort]*loadRumor{}}
+}
+
+// isUrgent reports whether news of a state must go before all other news.
+func isUrgent(s member.State) bool {
+	return s >= member.Suspect
+}
+
+// add queues a change; it replaces older news of the same member.
+func (g *gossip) add(m member.Member, sends int) {
+	r := g.rumors[m.Addr]
+	if r == nil {
+		r = &rumor{}
+		g.rumors[m.Addr] = r
+	}
+	urgent := isUrgent(m.State)
+	if r.queued && r.urgent != urgent {
+		// The old queue drops its copy when it comes to it.
+		r.left = 0
+		r = &rumor{}
+		g.rumors[m.Addr] = r
+	}
+	r.m, r.urgent, r.left = m, urgent, sends
+	if r.queued {
+		return
+	}
+	r.queued = true
+	if urgent {
+		g.urgent = append(g.urgent, r)
+	} else {
+		g.normal = append(g.normal, r)
+	}
+}
+
+// addLoad queues a load report for the balancers of the same data centre.
+func (g *gossip) addLoad(m member.Member) {
+	if m.DataCentre != g.b.n.self.DataCentre {
+		return
+	}
+	l := g.loadRumors[m.Addr]
+	if l == nil {
+		l = &loadRumor{}
+		g.loadRumors[m.Addr] = l
+	}
+	l.report = loadReport{Addr: m.Addr, Incarnation: m.Incarnation, Sequence: m.Sequence, Load: m.Load}
+	l.left = loadSends
+	if !l.queued {
+		l.queued = true
+		g.loads = append(g.loads, l)
+	}
+}
+
+// spreadRevision sends news of a new catalog revision a number of times.
+func (g *gossip) spreadRevision(sends int) {
+	g.revisionLeft = sends
+}
+
+func (g *gossip) tick(now time.Time) {
+	switch {
+	case len(g.urgent) > 0:
+		g.send(now, ClassUrgent)
+	case g.revisionLeft > 0:
+		g.send(now, ClassTicket)
+	case len(g.normal) > 0 && !now.Before(g.nextNormal):
+		g.send(now, ClassMember)
+	case len(g.loads) > 0 && !now.Before(g.nextLoad):
+		g.send(now, ClassLoad)
+	}
+}
+
+// send builds one message from the queues, the urgent first, and sends it to
+// random balancers.
+func (g *gossip) send(now time.Time, class Class) {
+	to := g.targets()
+	if len(to) == 0 {
+		g.drop()
+		return
+	}
+	room := 0
+	for len(to) > 0 {
+		room = g.b.n.budget.available(now, class, len(to)) - gossipHeaderSize
+		if room >= memberBaseSize+maxDataCentreBytes {
+			break
+		}
+		to = to[:len(to)-1]
+	}
+	if len(to) == 0 {
+		return
+	}
+	m := &Gossip{Self: g.b.n.record(), Revision: g.b.n.catalog.Revision()}
+	if class == ClassUrgent {
+		m.Updates = g.fill(&g.urgent, m.Updates, &room, len(to))
+	}
+	if class <= ClassMember {
+		m.Updates = g.fill(&g.normal, m.Updates, &room, len(to))
+		g.nextNormal = now.Add(g.b.n.cfg.Timing.GossipPeriod)
+	}
+	m.Loads = g.fillLoads(&room, len(to))
+	g.nextLoad = now.Add(loadPeriod)
+	payload, err := Encode(m)
+	if err != nil {
+		g.b.n.counters.BadMessages++
+		return
+	}
+	for _, addr := range to {
+		g.b.n.sendPayload(now, class, addr, payload)
+	}
+	g.revisionLeft = max(0, g.revisionLeft-len(to))
+}
+
+// drop forgets all news: there is nobody to tell, and a later peer pulls the whole table.
+func (g *gossip) drop() {
+	for _, r := range append(g.urgent, g.normal...) {
+		delete(g.rumors, r.m.Addr)
+	}
+	g.urgent, g.normal = nil, nil
+	clear(g.loadRumors)
+	g.loads = nil
+	g.revisionLeft = 0
+}
+
+// targets returns the balancers for one message: a few of the own data centre,
+// and at times one of another.
+func (g *gossip) targets() []netip.AddrPort {
+	var list []netip.AddrPort
+	for range gossipFanout {
+		r := g.b.randomBalancer(g.b.n.self.DataCentre)
+		if r != nil && !slices.Contains(list, r.Addr) {
+			list = append(list, r.Addr)
+		}
+	}
+	if len(list) == 0 || g.b.n.cfg.Rand.Float64() < remoteGossipShare {
+		if r := g.b.randomRemote(); r != nil {
+			list = append(list, r.Addr)
+		}
+	}
+	return list
+}
+
+// fill takes rumors from the front of a queue into updates while there is room.
+// A rumor with sends left goes to the back of the queue.
+func (g *gossip) fill(queue *[]*rumor, updates memberList, room *int, sends int) memberList {
+	for range len(*queue) {
+		r := (*queue)[0]
+		size := memberBaseSize + len(r.m.DataCentre)
+		if r.left > 0 && (size > *room || len(updates) >= maxMembers) {
+			return updates
+		}
+		*queue = (*queue)[1:]
+		if r.left > 0 {
+			*room -= size
+			updates = append(updates, r.m)
+			r.left -= sends
+		}
+		if r.left > 0 {
+			*queue = append(*queue, r)
+			continue
+		}
+		r.queued = false
+		if g.rumors[r.m.Addr] == r {
+			delete(g.rumors, r.m.Addr)
+		}
+	}
+	return updates
+}
+
+func (g *gossip) fillLoads(room *int, sends int) loadList {
+	var list loadList
+	for range len(g.loads) {
+		if *room < loadSize || len(list) >= maxLoads {
+			return list
+		}
+		l := g.loads[0]
+		g.loads = g.loads[1:]
+		*room -= loadSize
+		list = append(list, l.report)
+		l.left -= sends
+		if l.left > 0 {
+			g.loads = append(g.loads, l)
+			continue
+		}
+		l.queued = false
+		delete(g.loadRumors, l.report.Addr)
+	}
+	return list
+}
+
+// piggyback returns a few urgent changes for a probe. They count as one send each.
+func (g *gossip) piggyback() memberList {
+	room := piggybackMembers * (memberBaseSize + maxDataCentreBytes)
+	return g.fill(&g.urgent, nil, &room, 1)
+}
+
+// forget stops passing on the news of one member.
+func (g *gossip) forget(a netip.AddrPort) {
+	if r := g.rumors[a]; r != nil {
+		r.left = 0
+	}
+}
--- /dev/null
+++ b/internal/control/message.go
@@ -0,0 +1,157 @@
+package control
+
+import (
+	"net/netip"
+
+	"github.com/almondledge/almondledge/internal/member"
+	"github.com/almondledge/almondledge/internal/presence"
+)
+
+// MaxPayload is the largest encoded message, in bytes.
+const MaxPayload = 1200
+
+// Bounds of the lists in messages.
+const (
+	maxMembers = 64
+	maxAddrs   = 64
+	maxLoads   = 128
+)
+
+// messageType is the first byte of an encoded message.
+type messageType byte
+
+const (
+	typeAnnounce messageType = iota + 1
+	typeAnnounceAck
+	typePing
+	typePingAck
+	typePingRequest
+	typeGossip
+	typeDigest
+	typeStatusQuery
+	typeStatusReply
+)
+
+// Message is one control message.
+type Message interface {
+	messageType() messageType
+}
+
+// Announce is an agent's statement about itself to a balancer that observes it.
+type Announce struct {
+	Sequence uint32
+	Self     memberRecord
+	// Revision is the catalog revision in force at the agent.
+	Revision int64
+}
+
+// AnnounceAck answers an Announce.
+type AnnounceAck struct {
+	Sequence uint32
+	// Stream is the balancer's stream address.
+	Stream addr
+	// Revision is the balancer's catalog revision.
+	Revision int64
+	// ServiceRevision is the revision that last changed the agent's service.
+	ServiceRevision int64
+	// Contested is what the balancer holds of the agent when that overrides the
+	// announcement: the agent must answer with a higher incarnation.
+	Contested memberList
+	// Owners are the balancers that should observe the agent.
+	Owners addrList
+	// Balancers is a sample of other balancers.
+	Balancers addrList
+	// Peers is a sample of willing agents of the same service.
+	Peers memberList
+}
+
+// Ping asks a member to answer at once.
+type Ping struct {
+	Sequence uint32
+	Self     memberRecord
+	Revision int64
+	Updates  memberList
+}
+
+// PingAck answers a Ping, directly or through the member that a PingRequest went to.
+type PingAck struct {
+	Sequence uint32
+	Self     memberRecord
+	Revision int64
+	// Released tells a balancer that the agent announces itself to others.
+	Released bool
+	Updates  memberList
+}
+
+// PingRequest asks a balancer to ping Target and to pass the answer on.
+type PingRequest struct {
+	Sequence uint32
+	Target   addr
+	Revision int64
+}
+
+// Gossip carries changes to another balancer.
+type Gossip struct {
+	Self     memberRecord
+	Revision int64
+	Updates  memberList
+	Loads    loadList
+}
+
+// Digest compares two member tables.
+type Digest struct {
+	Self     memberRecord
+	Revision int64
+	// Answer is set on a digest sent in answer to another.
+	Answer bool
+	Sums   sums
+}
+
+// StatusQuery asks which nodes have a catalog revision in force.
+type StatusQuery struct {
+	// Query identifies the question.
+	Query uint32
+	// Wanted is the revision asked about.
+	Wanted int64
+	// Relay asks the receiver to ask the other balancers of its data centre.
+	Relay bool
+}
+
+// StatusReply answers a StatusQuery for the sender and the agents that it owns.
+type StatusReply struct {
+	Query    uint32
+	Revision int64
+	// Balancers and Agents count the nodes that the reply speaks for.
+	Balancers, Agents uint32
+	// Lagging counts those among them that do not have the revision in force.
+	Lagging uint32
+	// Sample names some of the lagging nodes.
+	Sample addrList
+}
+
+// loadReport is the load of one agent.
+type loadReport struct {
+	Addr        netip.AddrPort
+	Incarnation uint64
+	Sequence    uint32
+	Load        uint8
+}
+
+type (
+	addr         netip.AddrPort
+	addrList     []netip.AddrPort
+	memberRecord member.Member
+	memberList   []member.Member
+	loadList     []loadReport
+	sums         [presence.Buckets]uint32
+)
+
+func (*Announce) messageType() messageType    { return typeAnnounce }
+func (*AnnounceAck) messageType() messageType { return typeAnnounceAck }
+func (*Ping) messageType() messageType        { return typePing }
+func (*PingAck) messageType() messageType     { return typePingAck }
+func (*PingRequest) messageType() messageType { return typePingRequest }
+func (*Gossip) messageType() messageType      { return typeGossip }
+func (*Digest) messageType() messageType      { return typeDigest }
+func (*StatusQuery) messageType() messageType { return typeStatusQuery }
+func (*StatusReply) messageType() messageType { return typeStatusReply }
--- /dev/null
+++ b/internal/control/node.go
@@ -0,0 +1,275 @@
+package control
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/catalog"
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/member"
+	"github.com/almondledge/almondledge/internal/presence"
+	"github.com/almondledge/almondledge/internal/service"
+)
+
+// Node is the control logic of one process. It is not safe for concurrent use.
+type Node struct {
+	cfg      Config
+	self     member.Member
+	catalog  *catalog.Catalog
+	budget   *budget
+	agent    *agent
+	balancer *balancer
+	out      []Output
+	lastTick time.Time
+	sequence uint32
+	pull     pull
+	counters Counters
+}
+
+// Counters counts events since the start of the node.
+type Counters struct {
+	// StaleRefused counts configurations that were older than the one in force.
+	StaleRefused uint64
+	// BadMessages counts messages that made no sense for the role or the sender.
+	BadMessages uint64
+	// Refutations counts higher incarnations chosen against a suspicion.
+	Refutations uint64
+	// Suspicions and Deaths count what this node declared of others.
+	Suspicions, Deaths uint64
+	// ContestedAnnouncements counts announcements refused for an old incarnation.
+	ContestedAnnouncements uint64
+	// FailedPulls counts pulls without a result.
+	FailedPulls uint64
+	// Freezes counts gaps between ticks above the limit.
+	Freezes uint64
+}
+
+// New returns a node that starts at time now.
+func New(now time.Time, cfg Config) *Node {
+	cfg = cfg.withDefaults()
+	n := &Node{
+		cfg:      cfg,
+		self:     cfg.Self,
+		catalog:  catalog.New(),
+		budget:   newBudget(now, cfg.BytesPerSecond),
+		lastTick: now,
+	}
+	if n.self.Kind == member.Agent {
+		n.agent = newAgent(now, n)
+		return n
+	}
+	n.balancer = newBalancer(now, n)
+	return n
+}
+
+// Tick lets time pass; call it every TickPeriod.
+func (n *Node) Tick(now time.Time) []Output {
+	if gap := now.Sub(n.lastTick); gap > n.cfg.Timing.FreezeLimit {
+		n.thaw(now, gap)
+	}
+	n.lastTick = now
+	if n.agent != nil {
+		n.agent.tick(now)
+	} else {
+		n.balancer.tick(now)
+	}
+	return n.take()
+}
+
+// thaw handles a process that did not run for a while: what it said before no
+// longer counts, and silence of others during the gap proves nothing.
+func (n *Node) thaw(now time.Time, gap time.Duration) {
+	n.counters.Freezes++
+	n.notify(Notice{Kind: NoticeFrozen, Gap: gap})
+	n.raiseIncarnation(now, n.self.Incarnation)
+	if n.agent != nil {
+		n.agent.thaw(now)
+		return
+	}
+	n.balancer.thaw(now)
+}
+
+// Handle takes a message that arrived in an authenticated envelope.
+func (n *Node) Handle(now time.Time, from netip.AddrPort, m Message) []Output {
+	if n.agent != nil {
+		n.agent.handle(now, from, m)
+	} else {
+		n.balancer.handle(now, from, m)
+	}
+	return n.take()
+}
+
+// SetState announces a new state of this node. Going back to an earlier state
+// takes a higher incarnation.
+func (n *Node) SetState(now time.Time, s member.State) []Output {
+	if s == n.self.State {
+		return nil
+	}
+	if s < n.self.State {
+		n.self.Incarnation++
+	}
+	n.self.State = s
+	n.selfChanged(now)
+	return n.take()
+}
+
+// SetCapacity announces a new capacity of this agent's backend server.
+func (n *Node) SetCapacity(now time.Time, capacity uint16) []Output {
+	if capacity == n.self.Capacity {
+		return nil
+	}
+	n.self.Capacity = capacity
+	n.self.Incarnation++
+	n.selfChanged(now)
+	return n.take()
+}
+
+// SetLoad sets the load that the next announcement carries.
+func (n *Node) SetLoad(load uint8) {
+	n.self.Load = load
+}
+
+// raiseIncarnation chooses an incarnation above contested and announces it.
+func (n *Node) raiseIncarnation(now time.Time, contested uint64) {
+	if contested < n.self.Incarnation {
+		return
+	}
+	n.self.Incarnation = contested + 1
+	n.counters.Refutations++
+	n.notify(Notice{Kind: NoticeIncarnation, Incarnation: n.self.Incarnation})
+	n.selfChanged(now)
+}
+
+func (n *Node) selfChanged(now time.Time) {
+	if n.agent != nil {
+		n.agent.announceNow(now)
+		return
+	}
+	n.balancer.learn(now, n.self)
+}
+
+// Self returns what the node announces of itself.
+func (n *Node) Self() member.Member { return n.self }
+
+// Catalog returns the configuration in force.
+func (n *Node) Catalog() *catalog.Catalog { return n.catalog }
+
+// Table returns the member table of a balancer, and nil for an agent.
+func (n *Node) Table() *presence.Table {
+	if n.balancer == nil {
+		return nil
+	}
+	return n.balancer.table
+}
+
+// Ready reports whether the node has a catalog and has met its peers.
+func (n *Node) Ready() bool {
+	if n.catalog.Revision() == 0 {
+		return false
+	}
+	return n.agent != nil || n.balancer.joined
+}
+
+// Watching reports whether this node should watch the store.
+func (n *Node) Watching() bool {
+	return n.balancer != nil && n.balancer.watching
+}
+
+// ReplyTargets returns the balancers through which an agent sends replies.
+func (n *Node) ReplyTargets(now time.Time) []netip.AddrPort {
+	if n.agent == nil {
+		return nil
+	}
+	return n.agent.replyTargets(now)
+}
+
+// Peers returns willing agents of the same service that an agent has heard of.
+func (n *Node) Peers(now time.Time) []member.Member {
+	if n.agent == nil {
+		return nil
+	}
+	return n.agent.recentPeers(now)
+}
+
+// Usage returns the traffic sent so far, by class.
+func (n *Node) Usage() [Classes]Usage { return n.budget.usage }
+
+// Counters returns the event counters.
+func (n *Node) Counters() Counters { return n.counters }
+
+// DeltaSince answers a peer's catalog pull.
+func (n *Node) DeltaSince(rev int64, id service.ID) catalog.Delta {
+	return n.catalog.DeltaSince(rev, id)
+}
+
+// Bucket answers a peer's member pull. It returns nothing at an agent.
+func (n *Node) Bucket(buckets ...uint8) []member.Member {
+	if n.balancer == nil {
+		return nil
+	}
+	return n.balancer.table.Bucket(buckets...)
+}
+
+// ApplyStore takes a delta read from the platform store into force. An error of
+// kind Stale means that the store is older than what is in force.
+func (n *Node) ApplyStore(d catalog.Delta) ([]Output, error) {
+	err := n.apply(d)
+	return n.take(), err
+}
+
+// apply moves the catalog forward and spreads the news.
+func (n *Node) apply(d catalog.Delta) error {
+	next, err := n.catalog.Apply(d)
+	if errkind.Is(err, errkind.Stale) {
+		n.counters.StaleRefused++
+		n.notify(Notice{Kind: NoticeStale, Err: err})
+	}
+	if err != nil || next == n.catalog {
+		return err
+	}
+	n.catalog = next
+	n.notify(Notice{Kind: NoticeCatalog})
+	if n.balancer != nil {
+		n.balancer.gossip.spreadRevision(n.balancer.spreadLimit())
+	}
+	return nil
+}
+
+// send encodes and emits m if the budget of its class allows.
+func (n *Node) send(now time.Time, class Class, to netip.AddrPort, m Message) {
+	payload, err := Encode(m)
+	if err != nil {
+		n.counters.BadMessages++
+		return
+	}
+	n.sendPayload(now, class, to, payload)
+}
+
+func (n *Node) sendPayload(now time.Time, class Class, to netip.AddrPort, payload []byte) {
+	if n.budget.allow(now, class, len(payload)) {
+		n.out = append(n.out, Datagram{To: to, Payload: payload, Class: class})
+	}
+}
+
+func (n *Node) notify(notice Notice) {
+	n.out = append(n.out, notice)
+}
+
+func (n *Node) take() []Output {
+	out := n.out
+	n.out = nil
+	return out
+}
+
+func (n *Node) nextSequence() uint32 {
+	n.sequence++
+	return n.sequence
+}
+
+// record returns what the node says of itself in a message.
+func (n *Node) record() memberRecord { return memberRecord(n.self) }
+
+// jitter returns a random time of at most limit.
+func (n *Node) jitter(limit time.Duration) time.Duration {
+	return time.Duration(n.cfg.Rand.Int64N(int64(limit) + 1))
+}
--- /dev/null
+++ b/internal/control/pull.go
@@ -0,0 +1,53 @@
+package control
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/catalog"
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/service"
+)
+
+// pull is the state of catalog pulls: at most one runs at a time.
+type pull struct {
+	peer  netip.AddrPort
+	until time.Time
+	// backoff keeps a node from asking again at once after a failed pull.
+	backoff time.Time
+}
+
+// pullBackoff is the pause after a failed pull.
+const pullBackoff = 300 * time.Millisecond
+
+// pullCatalog asks peer for what is missing, unless a pull is running.
+func (n *Node) pullCatalog(now time.Time, peer, stream netip.AddrPort, id service.ID) {
+	if now.Before(n.pull.until) || now.Before(n.pull.backoff) || !stream.IsValid() {
+		return
+	}
+	n.pull = pull{peer: peer, until: now.Add(n.cfg.Timing.PullTimeout)}
+	n.out = append(n.out, CatalogPull{Peer: peer, Stream: stream, From: n.catalog.Revision(), Service: id})
+}
+
+// HandleCatalog takes the result of a CatalogPull.
+func (n *Node) HandleCatalog(now time.Time, peer netip.AddrPort, d catalog.Delta, err error) []Output {
+	if peer == n.pull.peer {
+		n.pull.until = time.Time{}
+	}
+	if err != nil {
+		n.counters.FailedPulls++
+		n.pull.backoff = now.Add(pullBackoff + n.jitter(pullBackoff))
+		return n.take()
+	}
+	if d.To <= n.catalog.Revision() {
+		return n.take()
+	}
+	if err := n.apply(d); err != nil {
+		n.counters.FailedPulls++
+		n.pull.backoff = now.Add(pullBackoff + n.jitter(pullBackoff))
+		if !errkind.Is(err, errkind.Stale) {
+			n.counters.BadMessages++
+		}
+	}
+	return n.take()
+}
--- /dev/null
+++ b/internal/control/repair.go
@@ -0,0 +1,136 @@
+package control
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/member"
+	"github.com/almondledge/almondledge/internal/presence"
+)
+
+// maxRepairBuckets bounds the buckets pulled at a time.
+const maxRepairBuckets = 16
+
+// repairSends is the number of times that a repaired record is passed on; it is
+// low because repair reaches other nodes as well.
+const repairSends = gossipFanout
+
+// repair compares tables with random peers and pulls what differs.
+type repair struct {
+	b    *balancer
+	next time.Time
+	// pulling is the end of the wait for the running pull.
+	pulling time.Time
+	peer    netip.AddrPort
+}
+
+func newRepair(now time.Time, b *balancer) *repair {
+	return &repair{b: b, next: now.Add(b.n.jitter(b.n.cfg.Timing.RepairPeriod))}
+}
+
+func (r *repair) tick(now time.Time) {
+	if now.Before(r.next) || !r.b.joined {
+		return
+	}
+	period := r.b.n.cfg.Timing.RepairPeriod
+	r.next = now.Add(period/2 + r.b.n.jitter(period))
+	if peer := r.choosePeer(); peer != nil {
+		r.sendDigest(now, peer.Addr, false)
+	}
+}
+
+// choosePeer prefers the own data centre; links to others are slow and dear.
+func (r *repair) choosePeer() *presence.Record {
+	if r.b.n.cfg.Rand.Float64() < remoteRepairShare {
+		if peer := r.b.randomRemote(); peer != nil {
+			return peer
+		}
+	}
+	peer := r.b.randomBalancer(r.b.n.self.DataCentre)
+	if peer == nil {
+		peer = r.b.randomRemote()
+	}
+	return peer
+}
+
+func (r *repair) sendDigest(now time.Time, to netip.AddrPort, answer bool) {
+	n := r.b.n
+	n.send(now, ClassMember, to, &Digest{
+		Self:     n.record(),
+		Revision: n.catalog.Revision(),
+		Answer:   answer,
+		Sums:     sums(r.b.table.Sums()),
+	})
+}
+
+// handleDigest pulls what differs, and answers with its own digest so that the
+// other side can do the same.
+func (r *repair) handleDigest(now time.Time, from netip.AddrPort, m *Digest) {
+	self := member.Member(m.Self)
+	if self.Addr != from {
+		r.b.n.counters.BadMessages++
+		return
+	}
+	if contest := r.b.contest(self); contest != nil {
+		r.b.n.send(now, ClassMember, from, &Gossip{Self: r.b.n.record(), Revision: r.b.n.catalog.Revision(), Updates: contest})
+	}
+	r.b.learnSender(now, self, m.Revision)
+	buckets := r.b.table.Mismatched(m.Sums)
+	behind := m.Revision < r.b.n.catalog.Revision()
+	if !m.Answer && (len(buckets) > 0 || behind) {
+		r.sendDigest(now, from, true)
+	}
+	if len(buckets) > 0 {
+		r.pull(now, from, self.Stream, buckets[:min(len(buckets), maxRepairBuckets)])
+	}
+}
+
+// pull asks for buckets of a peer's table, unless a pull is running.
+func (r *repair) pull(now time.Time, peer, stream netip.AddrPort, buckets []uint8) {
+	if now.Before(r.pulling) || !stream.IsValid() {
+		return
+	}
+	r.pulling = now.Add(r.b.n.cfg.Timing.PullTimeout)
+	r.peer = peer
+	r.b.n.out = append(r.b.n.out, MemberPull{Peer: peer, Stream: stream, Buckets: buckets})
+}
+
+// HandleMembers takes the result of a MemberPull.
+func (n *Node) HandleMembers(now time.Time, peer netip.AddrPort, members []member.Member, err error) []Output {
+	if n.balancer == nil {
+		return nil
+	}
+	n.balancer.repair.merge(now, peer, members, err)
+	return n.take()
+}
+
+func (r *repair) merge(now time.Time, peer netip.AddrPort, members []member.Member, err error) {
+	if peer == r.peer {
+		r.pulling = time.Time{}
+	}
+	if err != nil {
+		r.b.n.counters.FailedPulls++
+		return
+	}
+	for _, m := range members {
+		if checkMember(m) != nil || !m.Addr.IsValid() {
+			r.b.n.counters.BadMessages++
+			continue
+		}
+		r.b.learnQuietly(now, m)
+	}
+	r.b.joined = true
+}
+
+// learnQuietly merges a repaired record and passes it on only a few times.
+func (b *balancer) learnQuietly(now time.Time, m member.Member) {
+	if !b.learn(now, m) {
+		return
+	}
+	if rumor := b.gossip.rumors[m.Addr]; rumor != nil {
+		rumor.left = min(rumor.left, repairSends)
+	}
+	if !b.joined {
+		b.gossip.forget(m.Addr)
+	}
+}
--- /dev/null
+++ b/internal/controlplane/driver.go
@@ -0,0 +1,287 @@
+// Package controlplane drives a control.Node: it owns the ticker, the lock, the
+// streams for state transfer and the watch of the platform store. All decisions
+// are made in package control.
+package controlplane
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/almondledge/almondledge/internal/catalog"
+	"github.com/almondledge/almondledge/internal/control"
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/member"
+	"github.com/almondledge/almondledge/internal/presence"
+	"github.com/almondledge/almondledge/internal/service"
+)
+
+// Options set up a Driver.
+type Options struct {
+	// Node configures the decisions.
+	Node control.Config
+	// Send sends a payload to a member in a sealed envelope. It must not block for long.
+	Send func(to netip.AddrPort, payload []byte) error
+	// Dial opens an authenticated stream to the stream address of a member.
+	Dial func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
+	// OnNotice, if set, is called for each notice, without locks held.
+	OnNotice func(control.Notice)
+}
+
+// Driver runs one control.Node. Its methods are safe for concurrent use.
+//
+// Lock order: mu is the only lock. It is never held while Send, Dial, OnNotice
+// or a store call runs.
+type Driver struct {
+	opts   Options
+	ctx    context.Context
+	cancel context.CancelFunc
+	pulls  sync.WaitGroup
+
+	mu   sync.Mutex
+	node *control.Node
+
+	catalog    atomic.Pointer[catalog.Catalog]
+	ready      atomic.Bool
+	candidates sync.Map // service.ID to []presence.Candidate
+	// watchChanged wakes the watcher when the node's duty to watch may have changed.
+	watchChanged chan struct{}
+	lastTimed    time.Time
+
+	streamSent, streamReceived atomic.Uint64
+}
+
+// New returns a driver; Run makes it work.
+func New(opts Options) *Driver {
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &Driver{
+		opts:         opts,
+		ctx:          ctx,
+		cancel:       cancel,
+		node:         control.New(time.Now(), opts.Node),
+		watchChanged: make(chan struct{}, 1),
+	}
+	d.catalog.Store(d.node.Catalog())
+	return d
+}
+
+// Run lets time pass in the node until ctx ends.
+func (d *Driver) Run(ctx context.Context) error {
+	ticker := time.NewTicker(control.TickPeriod)
+	defer ticker.Stop()
+	defer d.pulls.Wait()
+	defer d.cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			d.do(func(now time.Time) []control.Output { return d.node.Tick(now) })
+		}
+	}
+}
+
+// HandleDatagram takes the payload of an authenticated control envelope.
+func (d *Driver) HandleDatagram(from netip.AddrPort, payload []byte) error {
+	m, err := control.Decode(payload)
+	if err != nil {
+		return err
+	}
+	d.do(func(now time.Time) []control.Output { return d.node.Handle(now, from, m) })
+	return nil
+}
+
+// do runs one decision under the lock and carries out its outputs afterwards.
+func (d *Driver) do(decide func(now time.Time) []control.Output) {
+	d.mu.Lock()
+	now := time.Now()
+	outputs := decide(now)
+	d.publish(now)
+	d.mu.Unlock()
+	for _, o := range outputs {
+		d.perform(o)
+	}
+}
+
+// timedPeriod is how often weights that change with time are published.
+const timedPeriod = time.Second
+
+// publish makes the node's state visible to readers without the lock.
+func (d *Driver) publish(now time.Time) {
+	d.catalog.Store(d.node.Catalog())
+	d.ready.Store(d.node.Ready())
+	table := d.node.Table()
+	if table == nil {
+		return
+	}
+	timed := now.Sub(d.lastTimed) >= timedPeriod
+	if timed {
+		d.lastTimed = now
+	}
+	for _, id := range table.TakeChanged(timed) {
+		d.candidates.Store(id, table.Candidates(now, id))
+	}
+}
+
+func (d *Driver) perform(o control.Output) {
+	switch o := o.(type) {
+	case control.Datagram:
+		// A lost datagram is as good as one that could not be sent.
+		_ = d.opts.Send(o.To, o.Payload)
+	case control.CatalogPull:
+		d.pulls.Go(func() { d.pullCatalog(o) })
+	case control.MemberPull:
+		d.pulls.Go(func() { d.pullMembers(o) })
+	case control.Notice:
+		d.notice(o)
+	}
+}
+
+func (d *Driver) notice(n control.Notice) {
+	switch n.Kind {
+	case control.NoticeWatcher:
+		select {
+		case d.watchChanged <- struct{}{}:
+		default:
+		}
+	case control.NoticeStale:
+		log.WithError(n.Err).Error("refused a configuration older than the one in force")
+	case control.NoticeFrozen:
+		log.WithField("gap", n.Gap).Warn("process was frozen")
+	case control.NoticeIncarnation:
+		log.WithField("incarnation", n.Incarnation).Warn("chose a higher incarnation")
+	}
+	if d.opts.OnNotice != nil {
+		d.opts.OnNotice(n)
+	}
+}
+
+// Catalog returns the configuration in force.
+func (d *Driver) Catalog() *catalog.Catalog { return d.catalog.Load() }
+
+// Ready reports whether the node has a catalog and has met its peers.
+func (d *Driver) Ready() bool { return d.ready.Load() }
+
+// Candidates returns the agents that may be offered new flows of a service,
+// sorted by address. The slice must not be changed.
+func (d *Driver) Candidates(id service.ID) []presence.Candidate {
+	if list, ok := d.candidates.Load(id); ok {
+		return list.([]presence.Candidate)
+	}
+	return nil
+}
+
+// Members returns all remembered members, sorted by address.
+func (d *Driver) Members() []member.Member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.Bucket()
+}
+
+// ReplyTargets returns the balancers through which an agent sends replies.
+func (d *Driver) ReplyTargets() []netip.AddrPort {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.ReplyTargets(time.Now())
+}
+
+// Peers returns willing agents of the same service.
+func (d *Driver) Peers() []member.Member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.Peers(time.Now())
+}
+
+// Self returns what the node announces of itself.
+func (d *Driver) Self() member.Member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.Self()
+}
+
+// SetState announces a new state of this node.
+func (d *Driver) SetState(s member.State) {
+	d.do(func(now time.Time) []control.Output { return d.node.SetState(now, s) })
+}
+
+// SetCapacity announces a new capacity of this agent's backend server.
+func (d *Driver) SetCapacity(capacity uint16) {
+	d.do(func(now time.Time) []control.Output { return d.node.SetCapacity(now, capacity) })
+}
+
+// SetLoad sets the load that the next announcement carries.
+func (d *Driver) SetLoad(load uint8) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.node.SetLoad(load)
+}
+
+// ApplyDelta takes a delta read from the platform store into force.
+func (d *Driver) ApplyDelta(delta catalog.Delta) error {
+	var err error
+	d.do(func(time.Time) []control.Output {
+		var out []control.Output
+		out, err = d.node.ApplyStore(delta)
+		return out
+	})
+	return err
+}
+
+// QueryStatus asks the fleet which nodes have a catalog revision in force.
+func (d *Driver) QueryStatus(revision int64) {
+	d.do(func(now time.Time) []control.Output { return d.node.QueryStatus(now, revision) })
+}
+
+// Status returns the replies to the last QueryStatus so far.
+func (d *Driver) Status() control.Status {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.Status()
+}
+
+// Usage returns the datagram traffic sent so far, by class, and the stream
+// bytes sent and received.
+func (d *Driver) Usage() (usage [control.Classes]control.Usage, streamSent, streamReceived uint64) {
+	d.mu.Lock()
+	usage = d.node.Usage()
+	d.mu.Unlock()
+	return usage, d.streamSent.Load(), d.streamReceived.Load()
+}
+
+// Counters returns the event counters of the node.
+func (d *Driver) Counters() control.Counters {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.Counters()
+}
+
+func (d *Driver) pullCatalog(p control.CatalogPull) {
+	var delta catalog.Delta
+	err := d.request(p.Stream, request{Kind: requestCatalog, From: p.From, Service: p.Service}, &delta)
+	d.do(func(now time.Time) []control.Output { return d.node.HandleCatalog(now, p.Peer, delta, err) })
+}
+
+func (d *Driver) pullMembers(p control.MemberPull) {
+	var members []member.Member
+	err := d.request(p.Stream, request{Kind: requestMembers, Buckets: p.Buckets}, &members)
+	d.do(func(now time.Time) []control.Output { return d.node.HandleMembers(now, p.Peer, members, err) })
+}
+
+// answer returns the reply to a peer's request.
+func (d *Driver) answer(r request) (any, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch r.Kind {
+	case requestCatalog:
+		return d.node.DeltaSince(r.From, r.Service), nil
+	case requestMembers:
+		return d.node.Bucket(r.Buckets...), nil
+	default:
+		return nil, errkind.New(errkind.Invalid, "unknown stream request", "check that all nodes run compatible versions")
+	}
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -84,4 +84,6 @@
 	Capacity uint16 `msgpack:"c,omitempty"`
 	// Load is the occupied share of an agent's backend server, 0 (idle) to 255 (full).
 	Load uint8 `msgpack:"l,omitempty"`
+	// Sequence orders the load reports of one incarnation.
+	Sequence uint32 `msgpack:"q,omitempty"`
 }
--- /dev/null
+++ b/internal/presence/view.go
@@ -0,0 +1,113 @@
+package presence
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/member"
+	"github.com/almondledge/almondledge/internal/service"
+)
+
+// Candidate is a member that may be offered new flows.
+type Candidate struct {
+	member.Member
+	// Weight is its relative share of new flows.
+	Weight float64
+}
+
+// Candidates returns the routable agents of a service, sorted by address.
+func (t *Table) Candidates(now time.Time, id service.ID) []Candidate {
+	var list []Candidate
+	for key := range t.services[id] {
+		for _, r := range t.groups[key].members {
+			if t.Routable(now, r) {
+				list = append(list, Candidate{Member: r.Member, Weight: t.Weight(now, r)})
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b Candidate) int { return a.Addr.Compare(b.Addr) })
+	return list
+}
+
+// TakeChanged returns the services whose candidates may have changed since the
+// last call. With timed set it includes those that change with time alone:
+// services with a warming or a failed agent.
+func (t *Table) TakeChanged(timed bool) []service.ID {
+	if timed {
+		for id := range t.moving {
+			t.changed[id] = true
+		}
+	}
+	ids := make([]service.ID, 0, len(t.changed))
+	for id := range t.changed {
+		ids = append(ids, id)
+	}
+	clear(t.changed)
+	slices.SortFunc(ids, cmp.Compare)
+	return ids
+}
+
+// note marks the service of r as changed; delta counts members in a moving state.
+func (t *Table) note(r *Record, delta int) {
+	if r.Kind != member.Agent {
+		return
+	}
+	t.changed[r.Service] = true
+	if r.State == member.Warming || !r.failedAt.IsZero() {
+		t.moving[r.Service] += delta
+		if t.moving[r.Service] == 0 {
+			delete(t.moving, r.Service)
+		}
+	}
+}
+
+// link enters a new group into the index by service and the list of data centres.
+func (t *Table) link(key GroupKey) {
+	if key.Kind == member.Balancer {
+		at, found := slices.BinarySearch(t.dataCentres, key.DataCentre)
+		if !found {
+			t.dataCentres = slices.Insert(t.dataCentres, at, key.DataCentre)
+		}
+		return
+	}
+	if t.services[key.Service] == nil {
+		t.services[key.Service] = map[GroupKey]bool{}
+	}
+	t.services[key.Service][key] = true
+	t.agentGroups[key.DataCentre] = append(t.agentGroups[key.DataCentre], key)
+}
+
+// unlink takes an empty group out of the indexes.
+func (t *Table) unlink(key GroupKey) {
+	if key.Kind == member.Balancer {
+		if at, found := slices.BinarySearch(t.dataCentres, key.DataCentre); found {
+			t.dataCentres = slices.Delete(t.dataCentres, at, at+1)
+		}
+		return
+	}
+	delete(t.services[key.Service], key)
+	if len(t.services[key.Service]) == 0 {
+		delete(t.services, key.Service)
+	}
+	groups := t.agentGroups[key.DataCentre]
+	groups = slices.DeleteFunc(groups, func(k GroupKey) bool { return k == key })
+	t.agentGroups[key.DataCentre] = groups
+}
+
+// DataCentres returns the data centres that have balancers, sorted.
+func (t *Table) DataCentres() []string { return t.dataCentres }
+
+// Agents calls visit for each remembered agent of a data centre, in a stable order.
+func (t *Table) Agents(dataCentre string, visit func(*Record)) {
+	for _, key := range t.agentGroups[dataCentre] {
+		for _, r := range t.groups[key].members {
+			visit(r)
+		}
+	}
+}
+
+// Balancers returns the remembered balancers of a data centre, dead ones included.
+func (t *Table) Balancers(dataCentre string) []*Record {
+	return t.Group(GroupKey{DataCentre: dataCentre, Kind: member.Balancer})
+}
