--- /dev/null
+++ b/internal/gateway/answer.go
@@ -0,0 +1,153 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/almondledge/almondledge/internal/idempotency"
+	"github.com/almondledge/almondledge/internal/request"
+)
+
+// copyBufferSize is the size of the pieces in which a body is passed on, in bytes.
+const copyBufferSize = 32 << 10
+
+// answer is the answer of one attempt whose head has arrived.
+type answer struct {
+	response *http.Response
+	body     *attemptBody
+	// kept collects the start of the body for replay.
+	kept []byte
+	// overflow reports that the body is too large to keep.
+	overflow bool
+}
+
+func (x *exchange) dropAnswer() {
+	if x.answer == nil {
+		return
+	}
+	x.answer.response.Body.Close()
+	x.body.end(x.answer.body)
+	x.answer = nil
+}
+
+// pass sends the answer on to the caller.
+func (x *exchange) pass(a request.Action) request.Event {
+	x.writeHead()
+	event := x.copyBody()
+	event.Attempt = a.Attempt
+	switch event.Kind {
+	case request.AnswerEnded:
+		x.record.finish(x.outcome(true))
+		x.copyTrailers()
+	case request.AnswerCut:
+		x.g.counters.cutAnswers.Inc()
+	}
+	return event
+}
+
+func (x *exchange) writeHead() {
+	response := x.answer.response
+	h := x.w.Header()
+	for name, values := range endToEnd(response.Header) {
+		if name != KeyField {
+			h[name] = values
+		}
+	}
+	outcome := OutcomeRun
+	if from := Outcome(response.Header.Get(OutcomeField)); x.forward && from != "" {
+		outcome = from
+	}
+	h.Set(OutcomeField, string(outcome))
+	for name := range response.Trailer {
+		h.Add("Trailer", name)
+	}
+	x.addFreshKey()
+	x.g.counters.outcomes[outcome].Inc()
+	x.w.WriteHeader(response.StatusCode)
+}
+
+// copyBody passes the body on piece by piece. An answer of unknown length may
+// be a stream of events, so each piece is flushed.
+func (x *exchange) copyBody() request.Event {
+	response := x.answer.response
+	flush := response.ContentLength < 0
+	control := http.NewResponseController(x.w)
+	buffer := make([]byte, copyBufferSize)
+	for {
+		n, err := response.Body.Read(buffer)
+		if n > 0 {
+			x.answer.keep(buffer[:n])
+			if _, werr := x.w.Write(buffer[:n]); werr != nil {
+				return request.Event{Kind: request.CallerCancelled}
+			}
+			if flush && control.Flush() != nil {
+				return request.Event{Kind: request.CallerCancelled}
+			}
+		}
+		if err == io.EOF {
+			return request.Event{Kind: request.AnswerEnded}
+		}
+		if err != nil {
+			return request.Event{Kind: request.AnswerCut}
+		}
+	}
+}
+
+func (x *exchange) copyTrailers() {
+	for name, values := range x.answer.response.Trailer {
+		x.w.Header()[name] = values
+	}
+}
+
+// keep collects the start of the body for replay.
+func (a *answer) keep(piece []byte) {
+	if a.overflow || len(a.kept)+len(piece) > idempotency.MaxAnswerSize {
+		a.overflow = true
+		a.kept = nil
+		return
+	}
+	a.kept = append(a.kept, piece...)
+}
+
+// outcome returns what the record of the request keeps of the answer.
+func (x *exchange) outcome(ended bool) idempotency.Outcome {
+	header := endToEnd(x.answer.response.Header)
+	header.Del(KeyField)
+	return idempotency.Outcome{
+		Status: x.answer.response.StatusCode,
+		Header: header,
+		Body:   x.answer.kept,
+		Whole:  ended && !x.answer.overflow,
+	}
+}
+
+// abort ends the caller's stream so that a cut answer is seen as cut.
+func (x *exchange) abort() {
+	if x.answer != nil {
+		x.record.finish(x.outcome(false))
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// replay sends the kept answer of an earlier request with the same key.
+func (x *exchange) replay(o idempotency.Outcome) {
+	if !o.Whole {
+		p := newProblem("answer-not-kept", http.StatusConflict, OutcomeRun, "The request ran before",
+			"its answer was not kept; read the result from the service")
+		p.OriginalStatus = o.Status
+		x.writeProblem(p)
+		return
+	}
+	h := x.w.Header()
+	for name, values := range o.Header {
+		h[name] = values
+	}
+	h.Set(OutcomeField, string(OutcomeRun))
+	h.Set("Content-Length", strconv.Itoa(len(o.Body)))
+	x.addFreshKey()
+	x.g.counters.outcomes[OutcomeRun].Inc()
+	x.w.WriteHeader(o.Status)
+	// A failed write means that the caller is gone; the record stays.
+	_, _ = x.w.Write(o.Body)
+}
--- /dev/null
+++ b/internal/gateway/caller.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/almondledge/almondledge/internal/request"
+)
+
+// serveCaller serves a request that came from a caller.
+func (x *exchange) serveCaller() {
+	if p, bad := x.checkRequest(); bad {
+		x.writeProblem(p)
+		return
+	}
+	limit := x.spec.Limits.Deadline()
+	if text := x.r.Header.Get(DeadlineField); text != "" {
+		asked, ok := parseMillis(text)
+		if !ok {
+			x.writeProblem(newProblem("bad-deadline", http.StatusBadRequest, x.untouched(), "Bad deadline field",
+				DeadlineField+" holds the remaining time in milliseconds"))
+			return
+		}
+		limit = min(limit, asked)
+	}
+	x.startClock(limit)
+	if limit <= 0 {
+		x.writeProblem(newProblem("deadline", http.StatusGatewayTimeout, x.untouched(), "The deadline has passed",
+			"send the request again with a later deadline"))
+		return
+	}
+	if x.repeatable {
+		x.run(x.route())
+		return
+	}
+	x.serveSingle()
+}
+
+// checkRequest returns the problem of a request that no agent of the service serves.
+func (x *exchange) checkRequest() (problem, bool) {
+	switch {
+	case x.spec.ID == 0:
+		return newProblem("no-service", http.StatusServiceUnavailable, OutcomeNotRun, "The service does not exist",
+			"it was removed, or this agent has not got it yet").after(defaultRetryAfter), true
+	case x.r.Method == http.MethodConnect:
+		return newProblem("method", http.StatusNotImplemented, OutcomeNotRun, "CONNECT is not supported",
+			"use another method"), true
+	case !servesHost(x.spec, x.r.Host):
+		x.g.counters.wrongHost.Inc()
+		return newProblem("wrong-host", http.StatusMisdirectedRequest, OutcomeNotRun, "The service has no such host name",
+			"send the request to the address of its service"), true
+	}
+	return problem{}, false
+}
+
+// route says where a request may go that this agent may dispatch.
+func (x *exchange) route() request.Route {
+	draining := x.g.isDraining(x.spec)
+	if x.mayPassOn() {
+		x.peers = x.g.candidates(x.spec.ID)
+	}
+	route := request.Route{
+		Repeatable: x.repeatable,
+		Local:      true,
+		PeersFirst: draining,
+		Peers:      len(x.peers),
+		Deadline:   x.deadline,
+	}
+	if !x.repeatable {
+		route.Reasks = maxReasks
+	}
+	if draining && len(x.peers) == 0 {
+		x.routeWithoutPeers(&route)
+	}
+	return route
+}
+
+// routeWithoutPeers decides on a request at a draining agent that knows no
+// peer. Its own callers are still served; a peer that asks has other choices.
+func (x *exchange) routeWithoutPeers(route *request.Route) {
+	if x.hops > 0 && x.key == nil {
+		route.Local = false
+		return
+	}
+	x.g.counters.servedDraining.Inc()
+}
+
+// mayPassOn reports whether this agent may relay the request: its callers' own,
+// and those whose key it granted.
+func (x *exchange) mayPassOn() bool {
+	return x.hops == 0 || (x.key != nil && x.hops < maxHops)
+}
--- /dev/null
+++ b/internal/gateway/counters.go
@@ -0,0 +1,38 @@
+package gateway
+
+import "github.com/VictoriaMetrics/metrics"
+
+// counters are the metrics of a Gateway.
+type counters struct {
+	outcomes          map[Outcome]*metrics.Counter
+	relays            *metrics.Counter
+	reasks            *metrics.Counter
+	retries           *metrics.Counter
+	relayOtherService *metrics.Counter
+	relayHopLimit     *metrics.Counter
+	relayExpired      *metrics.Counter
+	wrongHost         *metrics.Counter
+	keyRefused        *metrics.Counter
+	cutAnswers        *metrics.Counter
+	servedDraining    *metrics.Counter
+}
+
+func newCounters(set *metrics.Set) *counters {
+	c := &counters{
+		outcomes:          make(map[Outcome]*metrics.Counter),
+		relays:            set.GetOrCreateCounter(`almondledge_relays_total`),
+		reasks:            set.GetOrCreateCounter(`almondledge_relay_reasks_total`),
+		retries:           set.GetOrCreateCounter(`almondledge_request_retries_total`),
+		relayOtherService: set.GetOrCreateCounter(`almondledge_relays_refused_total{cause="other-service"}`),
+		relayHopLimit:     set.GetOrCreateCounter(`almondledge_relays_refused_total{cause="hop-limit"}`),
+		relayExpired:      set.GetOrCreateCounter(`almondledge_relays_refused_total{cause="expired"}`),
+		wrongHost:         set.GetOrCreateCounter(`almondledge_requests_refused_total{cause="wrong-host"}`),
+		keyRefused:        set.GetOrCreateCounter(`almondledge_requests_refused_total{cause="key"}`),
+		cutAnswers:        set.GetOrCreateCounter(`almondledge_answers_cut_total`),
+		servedDraining:    set.GetOrCreateCounter(`almondledge_requests_served_while_draining_total`),
+	}
+	for _, o := range []Outcome{OutcomeRun, OutcomeNotRun, OutcomeUnknown, OutcomeInProgress} {
+		c.outcomes[o] = set.GetOrCreateCounter(`almondledge_requests_total{outcome="` + string(o) + `"}`)
+	}
+	return c
+}
--- /dev/null
+++ b/internal/gateway/peer.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"net/http"
+	"net/netip"
+	"strconv"
+
+	"github.com/almondledge/almondledge/internal/idempotency"
+	"github.com/almondledge/almondledge/internal/service"
+)
+
+// servePeer serves a request that a peer relays.
+func (x *exchange) servePeer() {
+	hops, err := strconv.Atoi(x.r.Header.Get(relayHopsField))
+	if err != nil || hops < 1 || hops > maxHops {
+		x.g.counters.relayHopLimit.Inc()
+		x.hops = maxHops
+		x.writeProblem(newProblem("hop-limit", http.StatusLoopDetected, OutcomeNotRun, "Too many relays",
+			"the request was not run here"))
+		return
+	}
+	x.hops = hops
+	id, err := strconv.ParseUint(x.r.Header.Get(relayServiceField), 10, 16)
+	if err != nil || service.ID(id) != x.spec.ID || x.spec.ID == 0 {
+		x.g.counters.relayOtherService.Inc()
+		x.writeProblem(newProblem("other-service", http.StatusMisdirectedRequest, OutcomeNotRun,
+			"This agent serves another service", "the request was not run here"))
+		return
+	}
+	if caller, err := netip.ParseAddr(x.r.Header.Get(relayCallerField)); err == nil {
+		x.caller = caller
+	}
+	limit, ok := parseMillis(x.r.Header.Get(DeadlineField))
+	if !ok {
+		limit = 0
+	}
+	x.startClock(min(limit, x.spec.Limits.Deadline()))
+	x.servePeerKind()
+}
+
+// servePeerKind serves the three kinds of relayed requests: by key, by grant,
+// and repeatable ones without either.
+func (x *exchange) servePeerKind() {
+	keyText := x.r.Header.Get(relayKeyField)
+	grantText := x.r.Header.Get(relayGrantField)
+	x.repeatable = keyText == "" && grantText == ""
+	switch {
+	case keyText != "":
+		if err := x.openKey(keyText); err != nil {
+			x.refuseKey(err)
+			return
+		}
+		if x.readKeyedBody() {
+			x.serveKeyed()
+		}
+	case grantText != "":
+		x.serveGrant(grantText)
+	default:
+		x.runRecorded()
+	}
+}
+
+// serveGrant runs a request that another agent granted to this one.
+func (x *exchange) serveGrant(text string) {
+	grant, err := idempotency.ParseGrant(text)
+	if err != nil {
+		x.writeProblem(newProblem("bad-grant", http.StatusBadRequest, OutcomeNotRun, "Bad grant", err.Error()))
+		return
+	}
+	now := x.g.cfg.Now()
+	x.g.mu.Lock()
+	decision := x.g.shared.grants.Begin(now, grant, fingerprint(x.r, nil))
+	x.g.mu.Unlock()
+	if decision.Verdict != idempotency.Run {
+		x.answerVerdict(decision)
+		return
+	}
+	x.record = grantRecord{g: x.g, grant: grant}
+	x.runRecorded()
+}
--- /dev/null
+++ b/internal/gateway/relay.go
@@ -0,0 +1,210 @@
+package gateway
+
+import (
+	"net/http"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strconv"
+
+	"github.com/almondledge/almondledge/internal/idempotency"
+	"github.com/almondledge/almondledge/internal/member"
+	"github.com/almondledge/almondledge/internal/request"
+	"github.com/almondledge/almondledge/internal/service"
+)
+
+// RelayPrefix precedes the path of relayed requests at a peer.
+const RelayPrefix = "/almondledge/relay"
+
+// loadBuckets is the number of steps in which the load of peers is compared;
+// within a step the choice is random, so that agents do not all pick one peer.
+const loadBuckets = 8
+
+// peers returns the other agents of the service that take new work.
+func (g *Gateway) peers() []member.Member {
+	return g.peersOf(g.cfg.Spec().ID)
+}
+
+func (g *Gateway) peersOf(id service.ID) []member.Member {
+	return slices.DeleteFunc(slices.Clone(g.cfg.Peers()), func(m member.Member) bool {
+		return m.Kind != member.Agent || m.Service != id || m.Addr == g.cfg.Addr || !m.State.TakesNewFlows()
+	})
+}
+
+// candidates returns the peers to try for one request, the best first.
+func (g *Gateway) candidates(id service.ID) []member.Member {
+	type ranked struct {
+		peer member.Member
+		rank float64
+	}
+	var all []ranked
+	for _, peer := range g.peersOf(id) {
+		rank := float64(int(peer.Load)*loadBuckets/256) + g.cfg.Rand()
+		if peer.DataCentre != g.cfg.DataCentre {
+			rank++
+		}
+		all = append(all, ranked{peer: peer, rank: rank})
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		if a.rank < b.rank {
+			return -1
+		}
+		return 1
+	})
+	var best []member.Member
+	for _, r := range all[:min(len(all), maxPeers)] {
+		best = append(best, r.peer)
+	}
+	return best
+}
+
+// findPeer returns the agent of the service at addr, whatever its state.
+func (g *Gateway) findPeer(addr netip.AddrPort) (member.Member, bool) {
+	id := g.cfg.Spec().ID
+	for _, m := range g.cfg.Peers() {
+		if m.Addr == addr && m.Kind == member.Agent && m.Service == id {
+			return m, true
+		}
+	}
+	return member.Member{}, false
+}
+
+// relay sends the request to a peer.
+func (x *exchange) relay(a request.Action) request.Event {
+	peer := x.peers[a.Peer]
+	if a.Reask {
+		x.g.counters.reasks.Inc()
+	} else {
+		x.g.counters.relays.Inc()
+		x.newGrant(peer)
+	}
+	event, learned := x.ask(a, peer)
+	if learned {
+		x.newGrant(peer)
+		event, _ = x.ask(a, peer)
+	}
+	event.Attempt = a.Attempt
+	return event
+}
+
+// newGrant makes the grant of one attempt, if the request needs one: peers run
+// a repeatable request without, and the granting agent of a key by the key.
+func (x *exchange) newGrant(peer member.Member) {
+	if x.repeatable || x.forward {
+		return
+	}
+	x.g.mu.Lock()
+	defer x.g.mu.Unlock()
+	x.g.shared.granted++
+	x.grant = idempotency.Grant{
+		Granter:     x.g.cfg.Addr,
+		Incarnation: x.g.cfg.Incarnation,
+		Number:      x.g.shared.granted,
+		Executor:    x.g.shared.executors[peer.Addr],
+	}
+}
+
+// ask sends one relayed request. It reports as learned that the peer told its
+// process life and ran nothing, so that a new grant can name it.
+func (x *exchange) ask(a request.Action, peer member.Member) (event request.Event, learned bool) {
+	base, err := url.Parse(x.g.cfg.PeerURL(peer))
+	if err != nil || x.ctx.Err() != nil || x.remaining() <= hopAllowance {
+		return request.Event{Kind: request.PeerUnreached}, false
+	}
+	base.Path += RelayPrefix
+	body := x.relayBody()
+	out := x.outgoing(x.ctx, base, body)
+	x.setRelayFields(out.Header)
+	response, err := x.g.cfg.Relay.RoundTrip(out) //nolint:bodyclose // dropAnswer closes it.
+	if err != nil {
+		x.body.end(body)
+		return x.relayFailed(err), false
+	}
+	x.answer = &answer{response: response, body: body}
+	event = x.readOutcome(a, response)
+	if event.Kind == request.AnswerStarted || x.forward && event.Kind != request.PeerLost {
+		return event, false
+	}
+	learned = event.Kind == request.PeerRefused && x.learnExecutor(peer, response)
+	x.dropAnswer()
+	return event, learned
+}
+
+// relayBody returns the body of one relayed request. A grant that only asks
+// for the peer's process life carries none, because nothing runs under it.
+func (x *exchange) relayBody() *attemptBody {
+	if !x.repeatable && !x.forward && x.grant.Executor == 0 {
+		return &attemptBody{}
+	}
+	return x.body.open()
+}
+
+func (x *exchange) relayFailed(err error) request.Event {
+	switch {
+	case notSent(err):
+		return request.Event{Kind: request.PeerUnreached}
+	case x.ctx.Err() != nil:
+		return x.ended()
+	default:
+		return request.Event{Kind: request.PeerLost}
+	}
+}
+
+func (x *exchange) setRelayFields(h http.Header) {
+	h.Set(relayServiceField, strconv.Itoa(int(x.spec.ID)))
+	h.Set(relayHopsField, strconv.Itoa(x.hops+1))
+	h.Set(relayCallerField, x.caller.String())
+	h.Set(DeadlineField, formatMillis(x.remaining()-hopAllowance))
+	switch {
+	case x.forward:
+		h.Set(relayKeyField, x.keyText)
+	case !x.repeatable:
+		h.Set(relayGrantField, x.grant.String())
+	}
+}
+
+// readOutcome turns the head of a peer's answer into an event.
+func (x *exchange) readOutcome(a request.Action, response *http.Response) request.Event {
+	switch Outcome(response.Header.Get(OutcomeField)) {
+	case OutcomeRun:
+		return x.answerStarted()
+	case OutcomeNotRun:
+		wait, _ := parseMillis(response.Header.Get(relayRetryMsField))
+		return request.Event{
+			Kind:       request.PeerRefused,
+			RetryAfter: wait,
+			Overloaded: response.Header.Get(relayOverloadField) != "",
+		}
+	case OutcomeUnknown:
+		return request.Event{Kind: request.PeerUnknown}
+	case OutcomeInProgress:
+		if x.forward && !a.Reask {
+			return x.answerStarted()
+		}
+		return request.Event{Kind: request.PeerLost}
+	default:
+		// Something that is no agent answered; it may have passed the request on.
+		return request.Event{Kind: request.PeerLost}
+	}
+}
+
+// answerStarted stops the clock: the deadline bounds the start of the answer.
+func (x *exchange) answerStarted() request.Event {
+	if !x.timer.Stop() {
+		return request.Event{Kind: request.DeadlinePassed}
+	}
+	return request.Event{Kind: request.AnswerStarted}
+}
+
+// learnExecutor notes the process life that a peer told, and reports whether it is new.
+func (x *exchange) learnExecutor(peer member.Member, response *http.Response) bool {
+	incarnation, err := strconv.ParseUint(response.Header.Get(incarnationField), 10, 64)
+	if err != nil {
+		return false
+	}
+	x.g.mu.Lock()
+	defer x.g.mu.Unlock()
+	known := x.g.shared.executors[peer.Addr]
+	x.g.shared.executors[peer.Addr] = incarnation
+	return known != incarnation && x.grant.Executor == 0
+}
