lab caller: HTTP/3 flows that check every answer

Cause: load and fault runs need a caller that tells a broken flow from a graceful end, and a cut or foreign answer from a whole one. Ruled out: http3.Transport, which silently opens another connection after any failed request, so that a break would not be seen; each flow holds its own client connection instead. Change: flows with 1200-byte packets, no path MTU discovery, a socket each; verdict per request; ends with cause, use and agent.

--- /dev/null
+++ b/internal/lab/caller/flow.go
@@ -0,0 +1,288 @@
+// Package caller is an HTTP/3 caller for load and fault runs. A Flow keeps one
+// connection to a service as long as the service does, checks every answer, and
+// tells breaks from graceful ends.
+//
+// Lock order: Flow.mu only; it is not held during network calls.
+package caller
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+)
+
+const (
+	// packetSize is the size in bytes of each QUIC packet; there is no path MTU discovery.
+	packetSize = 1200
+	// socketBuffer is the size in bytes of the kernel buffers of a flow's socket.
+	socketBuffer = 1 << 20
+
+	defaultHandshakeTimeout = 10 * time.Second
+	defaultIdleTimeout      = 30 * time.Second
+	defaultKeepAlive        = 5 * time.Second
+)
+
+// Config describes the flows to one service.
+type Config struct {
+	// Address is the service address.
+	Address netip.AddrPort
+	// ServerName is the host name in requests and in TLS.
+	ServerName string
+	// TLS holds the trusted certificates.
+	TLS *tls.Config
+	// HandshakeTimeout bounds the opening of a connection. Zero is 10 s.
+	HandshakeTimeout time.Duration
+	// IdleTimeout ends a connection that hears nothing. Zero is 30 s.
+	IdleTimeout time.Duration
+	// KeepAlive is the period of keep-alive packets. Zero is 5 s.
+	KeepAlive time.Duration
+	// OnEnd is called when a connection ends, unless Close ended it. It may be nil.
+	OnEnd func(End)
+}
+
+// End tells how a connection ended.
+type End struct {
+	// Broken reports that the connection ended without a graceful reason.
+	Broken bool
+	// InUse reports that requests were under way.
+	InUse bool
+	// Agent is the agent that answered last on it, if known.
+	Agent string
+	// Cause is the error that ended it.
+	Cause error
+	// At is when it ended.
+	At time.Time
+	// Age is how long it was open.
+	Age time.Duration
+}
+
+// Flow is one caller's connection to a service. It opens a new connection for
+// the next request after the old one has ended. It is safe for concurrent use.
+type Flow struct {
+	cfg       Config
+	transport *http3.Transport
+	quic      *quic.Transport
+
+	mu      sync.Mutex // guards the fields below
+	current *connection
+	closed  bool
+	opened  int
+}
+
+// connection is one QUIC connection of a flow.
+type connection struct {
+	quic   *quic.Conn
+	http   *http3.ClientConn
+	opened time.Time
+
+	mu       sync.Mutex // guards the fields below
+	inFlight int
+	agent    string
+}
+
+// NewFlow returns a flow with a socket of its own, so that each flow has its own
+// caller address. It connects with the first request, or with Open.
+func NewFlow(cfg Config) (*Flow, error) {
+	setDefault(&cfg.HandshakeTimeout, defaultHandshakeTimeout)
+	setDefault(&cfg.IdleTimeout, defaultIdleTimeout)
+	setDefault(&cfg.KeepAlive, defaultKeepAlive)
+	network := "udp4"
+	if cfg.Address.Addr().Is6() {
+		network = "udp6"
+	}
+	conn, err := net.ListenUDP(network, nil)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.Unavailable, "cannot open a socket", "raise the limit of open files or open fewer flows")
+	}
+	// Smaller buffers than asked for are fine; they only raise the loss under load.
+	_ = conn.SetReadBuffer(socketBuffer)
+	_ = conn.SetWriteBuffer(socketBuffer)
+	return &Flow{
+		cfg:       cfg,
+		transport: &http3.Transport{DisableCompression: true},
+		quic:      &quic.Transport{Conn: conn},
+	}, nil
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
+
+// Open connects, unless the flow is connected already.
+func (f *Flow) Open(ctx context.Context) error {
+	_, err := f.connect(ctx)
+	return err
+}
+
+// Connections returns how many connections the flow has opened.
+func (f *Flow) Connections() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.opened
+}
+
+// Agent returns the agent that answered last on the current connection, if known.
+func (f *Flow) Agent() string {
+	f.mu.Lock()
+	c := f.current
+	f.mu.Unlock()
+	if c == nil {
+		return ""
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.agent
+}
+
+// Close ends the flow; this is neither a break nor a graceful end.
+func (f *Flow) Close() {
+	f.mu.Lock()
+	f.closed = true
+	c := f.current
+	f.current = nil
+	f.mu.Unlock()
+	if c != nil {
+		_ = c.quic.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "")
+	}
+	_ = f.quic.Close()
+	_ = f.quic.Conn.Close()
+}
+
+// connect returns the current connection, or opens one.
+func (f *Flow) connect(ctx context.Context) (*connection, error) {
+	f.mu.Lock()
+	c := f.current
+	closed := f.closed
+	f.mu.Unlock()
+	if closed {
+		return nil, errkind.New(errkind.Unavailable, "the flow is closed", "open a new flow")
+	}
+	if c != nil {
+		return c, nil
+	}
+	c, err := f.dial(ctx)
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed || f.current != nil {
+		// Another request connected meanwhile, or the flow was closed.
+		_ = c.quic.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "")
+		if f.current != nil {
+			return f.current, nil
+		}
+		return nil, errkind.New(errkind.Unavailable, "the flow is closed", "open a new flow")
+	}
+	f.current = c
+	f.opened++
+	go f.watch(c)
+	return c, nil
+}
+
+func (f *Flow) dial(ctx context.Context) (*connection, error) {
+	tlsConfig := f.cfg.TLS.Clone()
+	tlsConfig.ServerName = f.cfg.ServerName
+	tlsConfig.NextProtos = []string{http3.NextProtoH3}
+	conn, err := f.quic.Dial(ctx, net.UDPAddrFromAddrPort(f.cfg.Address), tlsConfig, &quic.Config{
+		HandshakeIdleTimeout:    f.cfg.HandshakeTimeout,
+		MaxIdleTimeout:          f.cfg.IdleTimeout,
+		KeepAlivePeriod:         f.cfg.KeepAlive,
+		InitialPacketSize:       packetSize,
+		DisablePathMTUDiscovery: true,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &connection{quic: conn, http: f.transport.NewClientConn(conn), opened: time.Now()}, nil
+}
+
+// watch reports the end of a connection.
+func (f *Flow) watch(c *connection) {
+	<-c.quic.Context().Done()
+	now := time.Now()
+	cause := context.Cause(c.quic.Context())
+	f.mu.Lock()
+	byCaller := f.closed
+	f.mu.Unlock()
+	f.forget(c)
+	if byCaller || f.cfg.OnEnd == nil {
+		return
+	}
+	c.mu.Lock()
+	end := End{Broken: !isGraceful(cause), InUse: c.inFlight > 0, Agent: c.agent, Cause: cause, At: now, Age: now.Sub(c.opened)}
+	c.mu.Unlock()
+	f.cfg.OnEnd(end)
+}
+
+// forget makes the next request open a new connection. Requests under way on c go on.
+func (f *Flow) forget(c *connection) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.current == c {
+		f.current = nil
+	}
+}
+
+// isGraceful reports whether a connection ended by H3_NO_ERROR: the server
+// closed it, or the client did after a GOAWAY.
+func isGraceful(cause error) bool {
+	app, ok := errors.AsType[*quic.ApplicationError](cause)
+	return ok && app.ErrorCode == quic.ApplicationErrorCode(http3.ErrCodeNoError)
+}
+
+// roundTrip sends a request on the current connection. A request that was not
+// sent, since the connection had ended or its server said GOAWAY, goes out on a
+// new connection once.
+func (f *Flow) roundTrip(ctx context.Context, newRequest func() (*http.Request, error)) (*http.Response, *connection, error) {
+	for attempt := 1; ; attempt++ {
+		c, err := f.connect(ctx)
+		if err != nil {
+			return nil, nil, &notSentError{err}
+		}
+		req, err := newRequest()
+		if err != nil {
+			return nil, nil, err
+		}
+		c.begin()
+		resp, err := c.http.RoundTrip(req)
+		if err == nil {
+			return resp, c, nil
+		}
+		c.finish("")
+		if !isNotSent(err) {
+			return nil, nil, err
+		}
+		f.forget(c)
+		if attempt == 2 || ctx.Err() != nil {
+			return nil, nil, &notSentError{err}
+		}
+	}
+}
+
+func (c *connection) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inFlight++
+}
+
+func (c *connection) finish(agent string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inFlight--
+	if agent != "" {
+		c.agent = agent
+	}
+}
--- a/internal/standin/backend/handlers.go
+++ b/internal/standin/backend/handlers.go
@@ -66,7 +66,8 @@
 	Cancelled uint64 `json:"cancelled"`
 }
 
-func (s *Server) handler() http.Handler {
+// Handler returns the handler of requests.
+func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /sheet", s.work(s.sheet))
 	mux.Handle("POST /upload", s.work(s.upload))
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -136,7 +136,7 @@
 	}
 	s.addr = listener.Addr().(*net.TCPAddr).AddrPort()
 	s.started = time.Now()
-	s.http = &http.Server{Handler: s.handler(), ReadHeaderTimeout: headerTimeout}
+	s.http = &http.Server{Handler: s.Handler(), ReadHeaderTimeout: headerTimeout}
 	go func(server *http.Server) { _ = server.Serve(listener) }(s.http)
 	return nil
 }
