--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -10,6 +10,7 @@
 type cli struct {
 	Standin standinCmd `cmd:"" help:"Run a stand-in for an outside system."`
 	Version versionCmd `cmd:"" help:"Print the version of the tool."`
+	Forward forwardCmd `cmd:"" help:"Compare forwarding with a bare UDP relay."`
 }
 
 func main() {
