Stream links: mutual TLS, ALPN dispatch, relays that are sent once

Cause: state transfer and relayed requests need authenticated TCP links; and http.Transport repeats a request without a body after PROTOCOL_ERROR, which a peer may send after it ran the request. Change: internal/stream with one listener for both protocols, a dialer, bounds on connections and handshakes, and a transport that sends unsafe requests once. Ruled out: leaving repeats to the Idempotency-Key rule of net/http, which treats such requests as repeatable. Proved: TestUnsafeRequestIsSentOnce fails without onceTransport (the request is sent twice, in all three cases); role, limit and handshake checks each fail their test when removed.

--- /dev/null
+++ b/internal/stream/dialer.go
@@ -0,0 +1,89 @@
+package stream
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/pki"
+)
+
+// Limits of the dialing side.
+const (
+	// DialTimeout bounds connecting, the handshake included.
+	DialTimeout = 3 * time.Second
+	// relayConnsPerHost bounds the connections to one peer; each carries many requests.
+	relayConnsPerHost = 4
+)
+
+// Dialer opens connections to the stream addresses of peers.
+type Dialer struct {
+	identity *pki.Identity
+	relay    *http.Transport
+}
+
+// NewDialer returns a dialer that authenticates with identity.
+func NewDialer(identity *pki.Identity) *Dialer {
+	dialer := &Dialer{identity: identity}
+	dialer.relay = dialer.newTransport()
+	return dialer
+}
+
+// DialSync opens a state transfer connection to a balancer or an agent. The
+// error is of kind Unavailable if the peer cannot be reached, and of kind
+// Unauthenticated if one side refused the other's certificate.
+func (d *Dialer) DialSync(ctx context.Context, peer netip.AddrPort) (net.Conn, error) {
+	return d.dial(ctx, peer.String(), d.identity.ClientConfig([]string{ProtocolSync}, pki.RoleBalancer, pki.RoleAgent))
+}
+
+// RoundTripper returns the transport for relayed requests over HTTP/2. Their
+// URLs are https://IP:port/ with the stream address of an agent. It is safe for
+// concurrent use. A request that is not safe by its method is sent at most once.
+func (d *Dialer) RoundTripper() http.RoundTripper {
+	return onceTransport{inner: d.relay}
+}
+
+// Close closes the idle relay connections.
+func (d *Dialer) Close() {
+	d.relay.CloseIdleConnections()
+}
+
+func (d *Dialer) dial(ctx context.Context, address string, config *tls.Config) (*tls.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+	defer cancel()
+	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.Unavailable, "stream connection", "check that the peer runs and its stream address is reachable")
+	}
+	conn := tls.Client(raw, config)
+	if err := conn.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		if errkind.Is(err, errkind.Unauthenticated) {
+			return nil, err
+		}
+		return nil, errkind.Wrap(err, errkind.Unavailable, "stream handshake", "check the certificates of both processes")
+	}
+	return conn, nil
+}
+
+func (d *Dialer) newTransport() *http.Transport {
+	var http2 http.Protocols
+	http2.SetHTTP2(true)
+	return &http.Transport{
+		DialTLSContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return d.dial(ctx, address, d.identity.ClientConfig([]string{ProtocolRelay}, pki.RoleAgent))
+		},
+		Protocols:          &http2,
+		DisableCompression: true,
+		MaxConnsPerHost:    relayConnsPerHost,
+		IdleConnTimeout:    relayIdleTimeout,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: relayPingAfter,
+			PingTimeout:     relayPingTimeout,
+		},
+	}
+}
--- /dev/null
+++ b/internal/stream/server.go
@@ -0,0 +1,236 @@
+// Package stream carries the TCP links between processes.
+//
+// Each process listens on one TCP address with mutual TLS and hands connections
+// on by their ALPN protocol: "almondledge-sync/1" for state transfer between
+// balancers and agents, and "h2" for requests that agents relay to each other.
+package stream
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/pki"
+)
+
+// ALPN protocols of the stream address.
+const (
+	// ProtocolSync is the protocol of state transfer.
+	ProtocolSync = "almondledge-sync/1"
+	// ProtocolRelay is the protocol of relayed requests.
+	ProtocolRelay = "h2"
+)
+
+// Defaults of the limits.
+const (
+	// DefaultMaxConnections bounds the open connections of a listener.
+	DefaultMaxConnections = 4096
+	// DefaultHandshakeTimeout bounds a TLS handshake.
+	DefaultHandshakeTimeout = 5 * time.Second
+)
+
+// Limits of HTTP/2 on relay connections.
+const (
+	relayStreams     = 1000
+	relayPingAfter   = 5 * time.Second
+	relayPingTimeout = 2 * time.Second
+	relayIdleTimeout = 2 * time.Minute
+	relayHeaderBytes = 64 << 10
+	headerTimeout    = 10 * time.Second
+	acceptErrorDelay = 50 * time.Millisecond
+)
+
+// Observer is told of events on the listener; its methods may run concurrently.
+type Observer interface {
+	// ConnectionRefused reports a connection that was closed before use.
+	ConnectionRefused(remote net.Addr, reason error)
+}
+
+// Options configure a Server.
+type Options struct {
+	// Identity authenticates this process and its peers.
+	Identity *pki.Identity
+	// Sync handles one state transfer connection; the server closes the connection
+	// when Sync returns. Nil refuses the protocol. The context ends on shutdown.
+	Sync func(context.Context, net.Conn)
+	// Relay handles relayed requests. Nil refuses the protocol.
+	Relay http.Handler
+	// MaxConnections bounds the open connections. Default: DefaultMaxConnections.
+	MaxConnections int
+	// HandshakeTimeout bounds a TLS handshake. Default: DefaultHandshakeTimeout.
+	HandshakeTimeout time.Duration
+	// Observer is told of refused connections. Default: none.
+	Observer Observer
+}
+
+// Server accepts connections on the stream address.
+type Server struct {
+	options Options
+	config  *tls.Config
+	relay   *http.Server
+	relayed *handoff
+	slots   chan struct{}
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+}
+
+// NewServer returns a server; call Serve to accept connections.
+func NewServer(options Options) *Server {
+	if options.MaxConnections == 0 {
+		options.MaxConnections = DefaultMaxConnections
+	}
+	if options.HandshakeTimeout == 0 {
+		options.HandshakeTimeout = DefaultHandshakeTimeout
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	server := &Server{
+		options: options,
+		config:  options.Identity.ServerConfig(protocols(options), pki.RoleBalancer, pki.RoleAgent),
+		slots:   make(chan struct{}, options.MaxConnections),
+		ctx:     ctx,
+		cancel:  cancel,
+	}
+	if options.Relay != nil {
+		server.relay = newRelayServer(options.Relay)
+		server.relayed = newHandoff()
+	}
+	return server
+}
+
+func protocols(options Options) []string {
+	var names []string
+	if options.Sync != nil {
+		names = append(names, ProtocolSync)
+	}
+	if options.Relay != nil {
+		names = append(names, ProtocolRelay)
+	}
+	return names
+}
+
+func newRelayServer(handler http.Handler) *http.Server {
+	var http2 http.Protocols
+	http2.SetHTTP2(true)
+	return &http.Server{
+		Handler:           handler,
+		Protocols:         &http2,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       relayIdleTimeout,
+		MaxHeaderBytes:    relayHeaderBytes,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: relayStreams,
+			SendPingTimeout:      relayPingAfter,
+			PingTimeout:          relayPingTimeout,
+		},
+	}
+}
+
+// Serve accepts connections from listener until Shutdown, and then returns nil.
+func (s *Server) Serve(listener net.Listener) error {
+	if s.relay != nil {
+		s.running.Go(func() { _ = s.relay.Serve(s.relayed) })
+	}
+	stop := context.AfterFunc(s.ctx, func() { _ = listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		switch {
+		case s.ctx.Err() != nil:
+			if err == nil {
+				_ = conn.Close()
+			}
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			return err
+		case err != nil:
+			// A failing accept, such as too many open files, must not end the process.
+			s.pause(acceptErrorDelay)
+		default:
+			s.admit(conn)
+		}
+	}
+}
+
+func (s *Server) pause(delay time.Duration) {
+	select {
+	case <-s.ctx.Done():
+	case <-time.After(delay):
+	}
+}
+
+// admit serves conn in a goroutine of its own, or closes it when all slots are taken.
+func (s *Server) admit(conn net.Conn) {
+	select {
+	case s.slots <- struct{}{}:
+		held := &slotConn{Conn: conn, release: sync.OnceFunc(func() { <-s.slots })}
+		s.running.Go(func() { s.serve(held) })
+	default:
+		s.refuse(conn, errkind.New(errkind.Overloaded, "too many stream connections", "find out which peers connect so often"))
+	}
+}
+
+// serve completes the handshake and hands conn to the handler of its protocol.
+func (s *Server) serve(raw net.Conn) {
+	conn := tls.Server(raw, s.config)
+	ctx, cancel := context.WithTimeout(s.ctx, s.options.HandshakeTimeout)
+	err := conn.HandshakeContext(ctx)
+	cancel()
+	if err != nil {
+		s.refuse(raw, err)
+		return
+	}
+	switch conn.ConnectionState().NegotiatedProtocol {
+	case ProtocolSync:
+		s.serveSync(conn)
+	case ProtocolRelay:
+		s.serveRelay(conn)
+	default:
+		s.refuse(conn, errkind.New(errkind.Invalid, "no protocol was negotiated", "connect with the protocols of package stream"))
+	}
+}
+
+func (s *Server) serveSync(conn *tls.Conn) {
+	stop := context.AfterFunc(s.ctx, func() { _ = conn.Close() })
+	defer stop()
+	defer func() { _ = conn.Close() }()
+	s.options.Sync(s.ctx, conn)
+}
+
+// serveRelay passes conn to the HTTP/2 server, which closes it. Only agents relay.
+func (s *Server) serveRelay(conn *tls.Conn) {
+	role, _ := pki.RoleOf(conn.ConnectionState().PeerCertificates[0])
+	if role != pki.RoleAgent {
+		s.refuse(conn, errkind.New(errkind.Unauthenticated, "a "+string(role)+" may not relay requests", "relay from agents only"))
+		return
+	}
+	if !s.relayed.put(conn) {
+		_ = conn.Close()
+	}
+}
+
+func (s *Server) refuse(conn net.Conn, reason error) {
+	_ = conn.Close()
+	if s.options.Observer != nil {
+		s.options.Observer.ConnectionRefused(conn.RemoteAddr(), reason)
+	}
+}
+
+// Shutdown stops accepting, ends state transfers, lets relayed requests finish
+// until ctx ends, and then closes what is left. It returns the error of ctx if
+// relayed requests were cut.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.cancel()
+	var err error
+	if s.relay != nil {
+		err = s.relay.Shutdown(ctx)
+		_ = s.relay.Close()
+	}
+	s.running.Wait()
+	return err
+}
