--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -4,11 +4,13 @@
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/base64"
-	"encoding/pem"
 	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/pki"
 )
 
 // Sizes of keys.
@@ -148,15 +150,25 @@
 	return err
 }
 
-func (t TLS) validate(path string) error {
+// Pair returns the certificate and the private key.
+func (t TLS) Pair() pki.Pair {
+	return pki.Pair{Certificate: t.Certificate, Key: string(t.Key)}
+}
+
+func (t TLS) validate(path string, role Role) error {
 	if t.CA == "" {
 		return missing(path+".ca", keysRemedy)
 	}
-	block, _ := pem.Decode([]byte(t.CA))
-	if block == nil || !x509.NewCertPool().AppendCertsFromPEM([]byte(t.CA)) {
+	if !x509.NewCertPool().AppendCertsFromPEM([]byte(t.CA)) {
 		return invalid(path+".ca", "holds no certificate", "give the certificate of the fleet's authority as PEM")
 	}
-	return validatePair(path, t.Certificate, t.Key)
+	if err := validatePair(path, t.Certificate, t.Key); err != nil {
+		return err
+	}
+	if err := pki.Verify(t.CA, t.Pair(), pki.Role(role), time.Now()); err != nil {
+		return invalid(path+".certificate", "would be refused by peers: "+err.Error(), keysRemedy)
+	}
+	return nil
 }
 
 func (t CallerTLS) validate(path string) error {
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -131,7 +131,7 @@
 	if o.TLS.IsZero() {
 		return nil
 	}
-	return o.TLS.validate("tls")
+	return o.TLS.validate("tls", RoleOperator)
 }
 
 // validateTransport keeps the token off the wire in the clear.
@@ -171,7 +171,7 @@
 	if err := validatePacketKeys(c.PacketKeys); err != nil {
 		return err
 	}
-	if err := c.TLS.validate("tls"); err != nil {
+	if err := c.TLS.validate("tls", role); err != nil {
 		return err
 	}
 	if err := validateToken(c.AdminToken); err != nil {
