--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,83 @@
+// Package telemetry serves the metrics, the health and the profiles of one process.
+package telemetry
+
+import (
+	"net/http"
+	"net/http/pprof"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+)
+
+// Paths that Register serves.
+const (
+	MetricsPath = "/metrics"
+	HealthPath  = "/healthz"
+	ReadyPath   = "/readyz"
+	ProfilePath = "/debug/pprof/"
+)
+
+// Ready returns nil if the process can do its work, and otherwise an error that
+// says why not.
+type Ready func() error
+
+// Process holds the metrics of one process. Several processes may share an
+// executable, as in the demo, so the default set of the library is not used.
+type Process struct {
+	set   *metrics.Set
+	ready Ready
+}
+
+// New returns the telemetry of a process. Until ready returns nil the process
+// is reported as not ready.
+func New(ready Ready) *Process {
+	return &Process{set: metrics.NewSet(), ready: ready}
+}
+
+// Set returns the set in which the parts of the process register their metrics.
+func (p *Process) Set() *metrics.Set { return p.set }
+
+// Register serves the paths of this package on mux. Metrics and health are open
+// to whoever reaches the address; guard protects the profiles.
+func (p *Process) Register(mux *http.ServeMux, guard func(http.Handler) http.Handler) {
+	mux.HandleFunc("GET "+MetricsPath, p.serveMetrics)
+	mux.HandleFunc("GET "+HealthPath, serveHealth)
+	mux.HandleFunc("GET "+ReadyPath, p.serveReady)
+	mux.Handle("GET "+ProfilePath, guard(http.HandlerFunc(pprof.Index)))
+	mux.Handle("GET "+ProfilePath+"cmdline", guard(http.HandlerFunc(pprof.Cmdline)))
+	mux.Handle("GET "+ProfilePath+"profile", guard(http.HandlerFunc(pprof.Profile)))
+	mux.Handle("GET "+ProfilePath+"symbol", guard(http.HandlerFunc(pprof.Symbol)))
+	mux.Handle("GET "+ProfilePath+"trace", guard(http.HandlerFunc(pprof.Trace)))
+}
+
+func (p *Process) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	p.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+// serveHealth answers as long as the process can answer at all.
+func serveHealth(w http.ResponseWriter, _ *http.Request) {
+	writeLine(w, http.StatusOK, "ok")
+}
+
+func (p *Process) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if err := p.ready(); err != nil {
+		writeLine(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	writeLine(w, http.StatusOK, "ready")
+}
+
+func writeLine(w http.ResponseWriter, status int, line string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(line + "\n"))
+}
+
+// NotReady returns an error that a Ready function gives while something is missing.
+func NotReady(missing, remedy string) error {
+	return errkind.New(errkind.Unavailable, "not ready: "+missing, remedy)
+}
