--- a/cmd/almondledge/main.go
+++ b/cmd/almondledge/main.go
@@ -2,11 +2,16 @@
 package main
 
 import (
-	"fmt"
-	"os"
+	"github.com/alecthomas/kong"
 )
 
+// cli lists the sub-commands; each has a file of its own.
+type cli struct {
+	Balancer balancerCmd `cmd:"" help:"Run a balancer."`
+	Agent    agentCmd    `cmd:"" help:"Run an agent beside a backend server."`
+}
+
 func main() {
-	fmt.Fprintln(os.Stderr, "almondledge: no command yet")
-	os.Exit(2)
+	ctx := kong.Parse(&cli{}, kong.Name("almondledge"), kong.Description("Layer-4 load balancer for long flows."))
+	ctx.FatalIfErrorf(ctx.Run())
 }
--- /dev/null
+++ b/internal/announce/announce.go
@@ -0,0 +1,138 @@
+// Package announce receives the announcements of the backend server beside an
+// agent. There is no list of backend servers: each announces itself, again and
+// again, so that its silence is noticed.
+package announce
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+)
+
+const (
+	// Path is the path of the announcement call.
+	Path = "/announce"
+	// SilenceLimit is the silence after which a backend server counts as gone.
+	SilenceLimit = 2500 * time.Millisecond
+	maxBody      = 4 << 10
+)
+
+// State is the life-cycle state that a backend server announces.
+type State string
+
+// States of a backend server.
+const (
+	Warming  State = "warming"
+	Serving  State = "serving"
+	Draining State = "draining"
+)
+
+// Announcement is the body of an announcement.
+type Announcement struct {
+	// Service is the name of the service.
+	Service string `json:"service"`
+	// Port is the loopback TCP port of the backend server.
+	Port uint16 `json:"port"`
+	// Capacity is its number of slots.
+	Capacity int `json:"capacity"`
+	// State is its life-cycle state.
+	State State `json:"state"`
+}
+
+// Validate returns an error that names the first bad field, or nil.
+func (a Announcement) Validate() error {
+	if a.Service == "" {
+		return errkind.New(errkind.Invalid, "announcement field service is missing", "give the name of a service")
+	}
+	if a.Port == 0 {
+		return errkind.New(errkind.Invalid, "announcement field port is missing", "give the TCP port on loopback")
+	}
+	if a.Capacity < 1 || a.Capacity > 1<<16-1 {
+		return errkind.New(errkind.Invalid, "announcement field capacity is out of range", "give the slots, 1 to 65535")
+	}
+	if a.State != Warming && a.State != Serving && a.State != Draining {
+		return errkind.New(errkind.Invalid, "announcement field state is unknown", "use warming, serving or draining")
+	}
+	return nil
+}
+
+// Registry holds the last announcement. It is safe for concurrent use.
+type Registry struct {
+	mu     sync.Mutex
+	last   Announcement
+	at     time.Time
+	first  chan struct{}
+	static bool
+}
+
+// NewRegistry returns a registry without an announcement.
+func NewRegistry() *Registry {
+	return &Registry{first: make(chan struct{})}
+}
+
+// NewStatic returns a registry of a backend server that the settings name; it
+// is never silent.
+func NewStatic(a Announcement) *Registry {
+	registry := NewRegistry()
+	registry.last = a
+	registry.static = true
+	close(registry.first)
+	return registry
+}
+
+// First returns a channel that is closed with the first announcement.
+func (r *Registry) First() <-chan struct{} {
+	return r.first
+}
+
+// Announce takes an announcement. A backend server may not change its service
+// or port while its agent lives.
+func (r *Registry) Announce(a Announcement, now time.Time) error {
+	if err := a.Validate(); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.at.IsZero() && !r.static {
+		close(r.first)
+	} else if a.Service != r.last.Service || a.Port != r.last.Port {
+		return errkind.New(errkind.Conflict, "the backend server changed its service or port", "restart the agent in its slot")
+	}
+	r.last = a
+	r.at = now
+	return nil
+}
+
+// Last returns the last announcement, and whether the backend server is still heard.
+func (r *Registry) Last(now time.Time) (Announcement, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.last, r.static || now.Sub(r.at) <= SilenceLimit
+}
+
+// ServeHTTP takes announcements by POST.
+func (r *Registry) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if req.Method != http.MethodPost {
+		http.Error(w, "use POST", http.StatusMethodNotAllowed)
+		return
+	}
+	var announcement Announcement
+	err := json.NewDecoder(io.LimitReader(req.Body, maxBody)).Decode(&announcement)
+	if err != nil {
+		http.Error(w, "the announcement is not JSON: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	err = r.Announce(announcement, time.Now())
+	switch {
+	case errkind.Is(err, errkind.Conflict):
+		http.Error(w, err.Error(), http.StatusConflict)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	default:
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
--- a/internal/balancer/forwarder.go
+++ b/internal/balancer/forwarder.go
@@ -9,8 +9,8 @@
 	"net"
 	"net/netip"
 	"sync/atomic"
+	"time"
 
-	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/almondledge/almondledge/internal/connid"
@@ -39,8 +39,8 @@
 	Workers int
 	// HandleControl gets the payload of control envelopes; it owns the slice.
 	HandleControl func(from netip.AddrPort, payload []byte)
-	// Log gets life-cycle events.
-	Log log.Interface
+	// MarkKeyUsed notes the key version of an established flow; nil notes nothing.
+	MarkKeyUsed func(version uint8, now time.Time)
 	// Metrics counts packets.
 	Metrics *Metrics
 }
@@ -111,14 +111,15 @@
 			return err
 		}
 		table := f.table.Load()
+		now := time.Now()
 		for i := range count {
-			f.inbound(router, table, reader.Datagram(i), writer)
+			f.inbound(now, router, table, reader.Datagram(i), writer)
 		}
 		f.config.Metrics.countUnsent(writer.Flush())
 	}
 }
 
-func (f *Forwarder) inbound(router *routing.Router, table *routing.Table, datagram []byte, writer *udpbatch.Writer) {
+func (f *Forwarder) inbound(now time.Time, router *routing.Router, table *routing.Table, datagram []byte, writer *udpbatch.Writer) {
 	packet, err := fabriclink.Decode(datagram)
 	if err != nil {
 		f.config.Metrics.foreignFabric.Inc()
@@ -141,13 +142,22 @@
 		message.Candidates = decision.Chosen[:decision.Count]
 		message.OverLimit = !f.limiter.Load().allow(decision.Service)
 	} else {
-		f.config.Metrics.keyVersions[decision.KeyVersion].Inc()
+		f.noteKey(decision.KeyVersion, now)
 	}
 	f.packets.Add(1)
 	sealed := f.config.Sealer.Seal(writer.Buffer(), &message)
 	f.config.Metrics.countUnsent(writer.Queue(sealed, decision.Chosen[0]))
 }
 
+// noteKey counts the use of a key version, so that operators see when an old
+// key is no longer needed.
+func (f *Forwarder) noteKey(version uint8, now time.Time) {
+	f.config.Metrics.keyVersions[version].Inc()
+	if f.config.MarkKeyUsed != nil {
+		f.config.MarkKeyUsed(version, now)
+	}
+}
+
 // forwardOutbound moves packets from the agents to the fabric and hands on control messages.
 func (f *Forwarder) forwardOutbound() error {
 	reader := f.config.Link.NewReader()
--- a/internal/connid/connid.go
+++ b/internal/connid/connid.go
@@ -12,6 +12,7 @@
 	"crypto/cipher"
 	"encoding/binary"
 	"net/netip"
+	"sync/atomic"
 
 	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/service"
@@ -67,16 +68,39 @@
 
 // Codec encodes and decodes connection IDs. It is safe for concurrent use.
 type Codec struct {
+	keys atomic.Pointer[codecKeys]
+}
+
+// codecKeys is one immutable set of keys.
+type codecKeys struct {
 	current uint8
 	blocks  [MaxVersions]cipher.Block
 }
 
 // NewCodec returns a codec that issues under the first key and accepts all of them.
 func NewCodec(keys []Key) (*Codec, error) {
+	codec := &Codec{}
+	if err := codec.Replace(keys); err != nil {
+		return nil, err
+	}
+	return codec, nil
+}
+
+// Replace puts other keys in force, or changes nothing and returns an error.
+func (c *Codec) Replace(keys []Key) error {
+	next, err := newCodecKeys(keys)
+	if err != nil {
+		return err
+	}
+	c.keys.Store(next)
+	return nil
+}
+
+func newCodecKeys(keys []Key) (*codecKeys, error) {
 	if len(keys) == 0 {
 		return nil, errkind.New(errkind.Invalid, "no connection ID key", "list at least one packet key in the settings")
 	}
-	codec := &Codec{current: keys[0].Version}
+	codec := &codecKeys{current: keys[0].Version}
 	for _, key := range keys {
 		if key.Version >= MaxVersions {
 			return nil, errkind.New(errkind.Invalid, "key version is above 7", "number packet keys from 0 to 7")
@@ -101,14 +125,15 @@
 	if !addr.Is4() {
 		return id, errkind.New(errkind.Invalid, "agent address is not IPv4", "give agents an IPv4 address")
 	}
-	id[0] = c.current<<versionShift | random&(1<<versionShift-1)
+	keys := c.keys.Load()
+	id[0] = keys.current<<versionShift | random&(1<<versionShift-1)
 	var block [aes.BlockSize]byte
 	octets := addr.As4()
 	copy(block[offsetAddr:], octets[:])
 	binary.BigEndian.PutUint16(block[offsetPort:], target.Agent.Port())
 	binary.BigEndian.PutUint16(block[offsetService:], uint16(target.Service))
 	binary.BigEndian.PutUint32(block[offsetCounter:], target.Counter)
-	c.blocks[c.current].Encrypt(id[1:], block[:])
+	keys.blocks[keys.current].Encrypt(id[1:], block[:])
 	return id, nil
 }
 
@@ -121,7 +146,7 @@
 		return Target{}, 0, ErrLength
 	}
 	version := id[0] >> versionShift
-	block := c.blocks[version]
+	block := c.keys.Load().blocks[version]
 	if block == nil {
 		return Target{}, version, ErrVersion
 	}
--- a/internal/envelope/open.go
+++ b/internal/envelope/open.go
@@ -5,6 +5,7 @@
 	"crypto/cipher"
 	"encoding/binary"
 	"sync"
+	"sync/atomic"
 
 	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/replay"
@@ -19,12 +20,15 @@
 // Lock order: Opener.mu before senderState.mu; senderState.mu is never held
 // while taking Opener.mu.
 type Opener struct {
-	secrets [MaxVersions]*[KeyLen]byte
+	secrets atomic.Pointer[openerKeys]
 	mu      sync.RWMutex
 	senders map[senderKey]*senderState
 	order   *list.List // of senderKey; the front was first heard last
 }
 
+// openerKeys are the accepted secrets by version.
+type openerKeys [MaxVersions]*[KeyLen]byte
+
 type senderKey struct {
 	version uint8
 	sender  uint64
@@ -40,14 +44,24 @@
 // NewOpener returns an opener that accepts datagrams under all keys.
 func NewOpener(keys []Key) (*Opener, error) {
 	opener := &Opener{senders: make(map[senderKey]*senderState), order: list.New()}
+	if err := opener.Replace(keys); err != nil {
+		return nil, err
+	}
+	return opener, nil
+}
+
+// Replace accepts other keys from now on, or changes nothing and returns an error.
+func (o *Opener) Replace(keys []Key) error {
+	var next openerKeys
 	for _, key := range keys {
 		if key.Version >= MaxVersions {
-			return nil, errkind.New(errkind.Invalid, "key version is above 7", "number packet keys from 0 to 7")
+			return errkind.New(errkind.Invalid, "key version is above 7", "number packet keys from 0 to 7")
 		}
 		secret := key.Secret
-		opener.secrets[key.Version] = &secret
+		next[key.Version] = &secret
 	}
-	return opener, nil
+	o.secrets.Store(&next)
+	return nil
 }
 
 // Open checks datagram and returns the envelope, whose payload aliases it. The
@@ -57,10 +71,14 @@
 		return Envelope{}, ErrMalformed
 	}
 	key := senderKey{version: datagram[versionAt], sender: binary.BigEndian.Uint64(datagram[senderAt:])}
-	if key.version >= MaxVersions || o.secrets[key.version] == nil {
+	if key.version >= MaxVersions {
+		return Envelope{}, ErrKey
+	}
+	secret := o.secrets.Load()[key.version]
+	if secret == nil {
 		return Envelope{}, ErrKey
 	}
-	state, known, err := o.state(key)
+	state, known, err := o.state(key, secret)
 	if err != nil {
 		return Envelope{}, err
 	}
@@ -91,14 +109,14 @@
 }
 
 // state returns the state of a sender; known is false when it was not heard before.
-func (o *Opener) state(key senderKey) (state *senderState, known bool, err error) {
+func (o *Opener) state(key senderKey, secret *[KeyLen]byte) (state *senderState, known bool, err error) {
 	o.mu.RLock()
 	state, known = o.senders[key]
 	o.mu.RUnlock()
 	if known {
 		return state, true, nil
 	}
-	aead, err := senderAEAD(o.secrets[key.version][:], key.sender)
+	aead, err := senderAEAD(secret[:], key.sender)
 	if err != nil {
 		return nil, false, ErrKey
 	}
--- a/internal/envelope/seal.go
+++ b/internal/envelope/seal.go
@@ -62,33 +62,49 @@
 
 // Sealer authenticates envelopes of one process. It is safe for concurrent use.
 type Sealer struct {
-	version  uint8
 	sender   uint64
 	sequence atomic.Uint64
-	aead     cipher.AEAD
+	key      atomic.Pointer[sealerKey]
+}
+
+// sealerKey is the current key of a sealer.
+type sealerKey struct {
+	version uint8
+	aead    cipher.AEAD
 }
 
 // NewSealer returns a sealer under key. The sender number must differ between
 // all processes and between restarts of a process; use a random one.
 func NewSealer(key Key, sender uint64) (*Sealer, error) {
-	aead, err := senderAEAD(key.Secret[:], sender)
+	sealer := &Sealer{sender: sender}
+	if err := sealer.Replace(key); err != nil {
+		return nil, err
+	}
+	return sealer, nil
+}
+
+// Replace puts another key in force.
+func (s *Sealer) Replace(key Key) error {
+	aead, err := senderAEAD(key.Secret[:], s.sender)
 	if err != nil {
-		return nil, errkind.Wrap(err, errkind.Invalid, "bad envelope key", "use a key of 32 bytes")
+		return errkind.Wrap(err, errkind.Invalid, "bad envelope key", "use a key of 32 bytes")
 	}
-	return &Sealer{version: key.Version, sender: sender, aead: aead}, nil
+	s.key.Store(&sealerKey{version: key.Version, aead: aead})
+	return nil
 }
 
 // Seal appends the sealed datagram of e to dst, which must be empty.
 func (s *Sealer) Seal(dst []byte, e *Envelope) []byte {
 	sequence := s.sequence.Add(1)
-	dst = e.appendTo(dst[:0], s.version, s.sender, sequence)
+	key := s.key.Load()
+	dst = e.appendTo(dst[:0], key.version, s.sender, sequence)
 	// The nonce follows the message in spare capacity, so that it does not escape to the heap.
 	end := len(dst)
 	dst = append(dst, 0, 0, 0, 0)
 	dst = binary.BigEndian.AppendUint64(dst, sequence)
 	nonce := dst[end : end+nonceLen]
 	var tag [tagLen]byte
-	sealed := s.aead.Seal(tag[:0], nonce, nil, dst[:end])
+	sealed := key.aead.Seal(tag[:0], nonce, nil, dst[:end])
 	return append(dst[:end], sealed...)
 }
 
--- /dev/null
+++ b/internal/packetkeys/packetkeys.go
@@ -0,0 +1,143 @@
+// Package packetkeys turns the fleet's keys into what the packet path uses:
+// a connection ID codec, a sealer and an opener of envelopes, the seed of flow
+// hashes, and the keyring of idempotency keys. All of it changes together when
+// keys rotate, while packets flow.
+package packetkeys
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"sync/atomic"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/connid"
+	"github.com/almondledge/almondledge/internal/envelope"
+	"github.com/almondledge/almondledge/internal/idempotency"
+	"github.com/almondledge/almondledge/internal/keyring"
+	"github.com/almondledge/almondledge/internal/settings"
+)
+
+const flowSeedLabel = "almondledge flow hash seed"
+
+// Set is the key material of one process. It is safe for concurrent use.
+type Set struct {
+	// Codec encodes and decodes connection IDs.
+	Codec *connid.Codec
+	// Sealer and Opener protect envelopes.
+	Sealer *envelope.Sealer
+	Opener *envelope.Opener
+	// FlowSeed is the fleet's secret seed of flow hashes. It stays as it was at the start.
+	FlowSeed uint64
+
+	ring        *keyring.Ring
+	idempotency atomic.Pointer[idempotency.Keyring]
+}
+
+// New derives the key material from validated settings.
+func New(keys []settings.PacketKey) (*Set, error) {
+	ring, err := keyring.New(keys)
+	if err != nil {
+		return nil, err
+	}
+	set := &Set{ring: ring, FlowSeed: flowSeed(ring.Versions()[0])}
+	if set.Codec, err = connid.NewCodec(connectionIDKeys(ring)); err != nil {
+		return nil, err
+	}
+	if set.Sealer, err = envelope.NewSealer(envelopeKeys(ring)[0], randomSender()); err != nil {
+		return nil, err
+	}
+	if set.Opener, err = envelope.NewOpener(envelopeKeys(ring)); err != nil {
+		return nil, err
+	}
+	return set, set.replaceIdempotency()
+}
+
+// Replace puts the keys of new settings in force, or returns an error and
+// changes nothing when the step would break flows.
+func (s *Set) Replace(keys []settings.PacketKey, now time.Time) error {
+	if err := s.ring.Replace(keys, now); err != nil {
+		return err
+	}
+	if err := s.Opener.Replace(envelopeKeys(s.ring)); err != nil {
+		return err
+	}
+	if err := s.Codec.Replace(connectionIDKeys(s.ring)); err != nil {
+		return err
+	}
+	if err := s.Sealer.Replace(envelopeKeys(s.ring)[0]); err != nil {
+		return err
+	}
+	return s.replaceIdempotency()
+}
+
+// MarkUsed notes that a flow's connection ID was issued under a key version.
+func (s *Set) MarkUsed(version uint8, now time.Time) {
+	if keys := s.ring.Version(version); keys != nil {
+		keys.MarkUsed(now)
+	}
+}
+
+// Idempotency returns the keys that seal idempotency keys.
+func (s *Set) Idempotency() *idempotency.Keyring {
+	return s.idempotency.Load()
+}
+
+// StatelessReset and AddressToken return the keys of the QUIC endpoint. They
+// are read once at the start, from the oldest version, which all agents share.
+func (s *Set) StatelessReset() [keyring.KeyBytes]byte {
+	return s.ring.Versions()[0].StatelessReset
+}
+
+// AddressToken returns the key of QUIC address-validation tokens.
+func (s *Set) AddressToken() [keyring.KeyBytes]byte {
+	return s.ring.Versions()[0].AddressToken
+}
+
+func (s *Set) replaceIdempotency() error {
+	secrets := make(map[uint8][]byte)
+	for _, keys := range s.ring.Versions() {
+		secrets[keys.Version] = keys.IdempotencyKey[:]
+	}
+	ring, err := idempotency.NewKeyring(s.ring.Current().Version, secrets)
+	if err != nil {
+		return err
+	}
+	s.idempotency.Store(ring)
+	return nil
+}
+
+// connectionIDKeys lists the keys with the current one first.
+func connectionIDKeys(ring *keyring.Ring) []connid.Key {
+	current := ring.Current()
+	list := []connid.Key{{Version: current.Version, Secret: current.ConnectionID}}
+	for _, keys := range ring.Versions() {
+		if keys.Version != current.Version {
+			list = append(list, connid.Key{Version: keys.Version, Secret: keys.ConnectionID})
+		}
+	}
+	return list
+}
+
+// envelopeKeys lists the keys with the current one first.
+func envelopeKeys(ring *keyring.Ring) []envelope.Key {
+	current := ring.Current()
+	list := []envelope.Key{{Version: current.Version, Secret: current.Envelope}}
+	for _, keys := range ring.Versions() {
+		if keys.Version != current.Version {
+			list = append(list, envelope.Key{Version: keys.Version, Secret: keys.Envelope})
+		}
+	}
+	return list
+}
+
+func flowSeed(keys *keyring.Keys) uint64 {
+	sum := sha256.Sum256(append([]byte(flowSeedLabel), keys.AddressToken[:]...))
+	return binary.BigEndian.Uint64(sum[:])
+}
+
+func randomSender() uint64 {
+	var data [8]byte
+	_, _ = rand.Read(data[:]) // never fails
+	return binary.BigEndian.Uint64(data[:])
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -61,3 +62,19 @@
 	// RepeatablePaths are path prefixes whose requests may be repeated whatever their method.
 	RepeatablePaths []string `json:"repeatablePaths,omitempty" msgpack:"repeatable_paths,omitempty"`
 }
+
+// Admits reports whether the backend server beside the agent at addr in
+// dataCentre may serve the service.
+func (s *Spec) Admits(addr netip.AddrPort, dataCentre string) bool {
+	if len(s.DataCentres) > 0 && !slices.Contains(s.DataCentres, dataCentre) {
+		return false
+	}
+	return slices.ContainsFunc(s.BackendServers, func(network netip.Prefix) bool {
+		return network.Contains(addr.Addr())
+	})
+}
+
+// Drains reports whether the agent at addr must get no new work.
+func (s *Spec) Drains(addr netip.AddrPort) bool {
+	return slices.Contains(s.Draining, addr)
+}
