Sockets behind one interface, so that whole processes run on a fake clock

Cause: the fault matrix must run the real agents and balancers, QUIC included, deterministically. Change: package network, udpbatch.Conn; stream.Dialer, gateway and roles take their connections from it.

--- a/cmd/almondledge/roles.go
+++ b/cmd/almondledge/roles.go
@@ -8,6 +8,7 @@
 	"github.com/almondledge/almondledge/internal/agent"
 	"github.com/almondledge/almondledge/internal/balancer"
 	"github.com/almondledge/almondledge/internal/logging"
+	"github.com/almondledge/almondledge/internal/network"
 	"github.com/almondledge/almondledge/internal/process"
 	"github.com/almondledge/almondledge/internal/settings"
 )
@@ -27,7 +28,7 @@
 	if err != nil {
 		return err
 	}
-	b, err := balancer.New(config, logger, metrics.NewSet())
+	b, err := balancer.New(config, balancer.Options{Log: logger, Metrics: metrics.NewSet(), Network: network.System{}})
 	if err != nil {
 		return err
 	}
@@ -56,7 +57,7 @@
 	if err != nil {
 		return err
 	}
-	a, err := agent.New(config, logger, metrics.NewSet())
+	a, err := agent.New(config, agent.Options{Log: logger, Metrics: metrics.NewSet(), Network: network.System{}})
 	if err != nil {
 		return err
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -27,13 +27,13 @@
 	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/gateway"
 	"github.com/almondledge/almondledge/internal/member"
+	"github.com/almondledge/almondledge/internal/network"
 	"github.com/almondledge/almondledge/internal/opening"
 	"github.com/almondledge/almondledge/internal/packetkeys"
 	"github.com/almondledge/almondledge/internal/pki"
 	"github.com/almondledge/almondledge/internal/service"
 	"github.com/almondledge/almondledge/internal/settings"
 	"github.com/almondledge/almondledge/internal/stream"
-	"github.com/almondledge/almondledge/internal/udpbatch"
 )
 
 const (
@@ -43,9 +43,20 @@
 	lifecyclePeriod = 200 * time.Millisecond
 )
 
+// Options are what an agent gets from its process.
+type Options struct {
+	// Log gets life-cycle events.
+	Log log.Interface
+	// Metrics receives the counters.
+	Metrics *metrics.Set
+	// Network opens the sockets.
+	Network network.Network
+}
+
 // Agent is one agent process.
 type Agent struct {
 	settings settings.Agent
+	network  network.Network
 	log      log.Interface
 	metrics  *metrics.Set
 	keys     *packetkeys.Set
@@ -69,7 +80,7 @@
 }
 
 // New checks the settings and prepares an agent; Run makes it work.
-func New(config settings.Agent, logger log.Interface, set *metrics.Set) (*Agent, error) {
+func New(config settings.Agent, options Options) (*Agent, error) {
 	keys, err := packetkeys.New(config.PacketKeys)
 	if err != nil {
 		return nil, err
@@ -85,12 +96,13 @@
 	}
 	return &Agent{
 		settings: config,
-		log:      logger,
-		metrics:  set,
+		network:  options.Network,
+		log:      options.Log,
+		metrics:  options.Metrics,
 		keys:     keys,
 		registry: registry,
 		identity: identity,
-		dialer:   stream.NewDialer(identity),
+		dialer:   stream.NewDialer(identity, options.Network.DialTCP),
 	}, nil
 }
 
@@ -155,9 +167,9 @@
 	if !a.settings.Announce.IsValid() {
 		return server, nil
 	}
-	listener, err := net.Listen("tcp", a.settings.Announce.String())
+	listener, err := a.network.ListenTCP(a.settings.Announce)
 	if err != nil {
-		return nil, errkind.Wrap(err, errkind.Unavailable, "cannot bind the announce address", "choose a free loopback address")
+		return nil, err
 	}
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -172,7 +184,7 @@
 	a.serviceID = spec.ID
 	a.spec.Store(&spec)
 	last, _ := a.registry.Last(time.Now())
-	socket, err := udpbatch.Listen(a.settings.Address)
+	socket, err := a.network.ListenUDP(a.settings.Address)
 	if err != nil {
 		return err
 	}
@@ -238,7 +250,7 @@
 		PeerURL: func(m member.Member) string { return "https://" + m.Stream.String() },
 		Relay:   a.dialer.RoundTripper(),
 		Keys:    a.keys.Idempotency,
-		Now:     time.Now, Rand: mathrand.Float64, Metrics: a.metrics, Log: a.log,
+		Now:     time.Now, Rand: mathrand.Float64, Metrics: a.metrics, Log: a.log, Dial: a.network.DialTCP,
 		OnLoad: func(load uint8) { a.driver.SetLoad(load) },
 	}
 	_, _ = rand.Read(config.NoncePrefix[:]) // never fails
@@ -292,9 +304,9 @@
 
 // serve runs all parts until ctx or drain ends.
 func (a *Agent) serve(ctx, drain context.Context) error {
-	listener, err := net.Listen("tcp", a.settings.Stream.String())
+	listener, err := a.network.ListenTCP(a.settings.Stream)
 	if err != nil {
-		return errkind.Wrap(err, errkind.Unavailable, "cannot bind the stream address", "choose a free address of this instance")
+		return err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -18,7 +18,7 @@
 // Lock order: mu is taken last and held only around the opening table.
 type link struct {
 	self    netip.AddrPort
-	socket  *udpbatch.Socket
+	socket  udpbatch.Conn
 	sealer  *envelope.Sealer
 	opener  *envelope.Opener
 	codec   *connid.Codec
--- a/internal/agent/packetconn.go
+++ b/internal/agent/packetconn.go
@@ -26,7 +26,7 @@
 // the link hands in and sends through a balancer that is alive. Its peers have
 // the addresses of the callers.
 type packetConn struct {
-	link    *udpbatch.Socket
+	link    udpbatch.Conn
 	sealer  *envelope.Sealer
 	metrics *Metrics
 	// replyTargets returns the balancers that answered lately.
@@ -55,7 +55,7 @@
 	from   netip.AddrPort
 }
 
-func newPacketConn(link *udpbatch.Socket, sealer *envelope.Sealer, targets func() []netip.AddrPort, metrics *Metrics) *packetConn {
+func newPacketConn(link udpbatch.Conn, sealer *envelope.Sealer, targets func() []netip.AddrPort, metrics *Metrics) *packetConn {
 	return &packetConn{
 		link:         link,
 		sealer:       sealer,
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -5,6 +5,7 @@
 	"errors"
 	mathrand "math/rand/v2"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,7 @@
 	"github.com/almondledge/almondledge/internal/envelope"
 	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/member"
+	"github.com/almondledge/almondledge/internal/network"
 	"github.com/almondledge/almondledge/internal/packetkeys"
 	"github.com/almondledge/almondledge/internal/pki"
 	"github.com/almondledge/almondledge/internal/settings"
@@ -41,9 +43,22 @@
 	leavePoll    = 50 * time.Millisecond
 )
 
+// Options are what a balancer gets from its process.
+type Options struct {
+	// Log gets life-cycle events.
+	Log log.Interface
+	// Metrics receives the counters.
+	Metrics *metrics.Set
+	// Network opens the sockets.
+	Network network.Network
+	// StoreTransport carries the calls to the platform's store. Nil uses HTTP.
+	StoreTransport http.RoundTripper
+}
+
 // Balancer is one balancer process.
 type Balancer struct {
 	settings  settings.Balancer
+	network   network.Network
 	log       log.Interface
 	keys      *packetkeys.Set
 	dialer    *stream.Dialer
@@ -51,8 +66,8 @@
 	driver    *controlplane.Driver
 	store     *etcd.Client
 	forwarder *Forwarder
-	fabric    *udpbatch.Socket
-	link      *udpbatch.Socket
+	fabric    udpbatch.Conn
+	link      udpbatch.Conn
 	metrics   *Metrics
 	// changed wakes the goroutine that builds routing tables.
 	changed  chan struct{}
@@ -60,7 +75,7 @@
 }
 
 // New checks the settings and binds the sockets; Run makes the balancer work.
-func New(config settings.Balancer, logger log.Interface, set *metrics.Set) (*Balancer, error) {
+func New(config settings.Balancer, options Options) (*Balancer, error) {
 	keys, err := packetkeys.New(config.PacketKeys)
 	if err != nil {
 		return nil, err
@@ -70,17 +85,20 @@
 	if err != nil {
 		return nil, err
 	}
-	client, err := etcd.New(etcd.Config{Endpoints: config.Store.Endpoints, Metrics: set})
+	client, err := etcd.New(etcd.Config{
+		Endpoints: config.Store.Endpoints, Transport: options.StoreTransport, Metrics: options.Metrics,
+	})
 	if err != nil {
 		return nil, err
 	}
 	b := &Balancer{
 		settings: config,
-		log:      logger,
+		network:  options.Network,
+		log:      options.Log,
 		keys:     keys,
-		dialer:   stream.NewDialer(identity),
+		dialer:   stream.NewDialer(identity, options.Network.DialTCP),
 		store:    client,
-		metrics:  NewMetrics(set),
+		metrics:  NewMetrics(options.Metrics),
 		changed:  make(chan struct{}, 1),
 	}
 	b.driver = b.newDriver()
@@ -90,10 +108,10 @@
 
 func (b *Balancer) bind() error {
 	var err error
-	if b.fabric, err = udpbatch.Listen(b.settings.FabricListen); err != nil {
+	if b.fabric, err = b.network.ListenUDP(b.settings.FabricListen); err != nil {
 		return err
 	}
-	if b.link, err = udpbatch.Listen(b.settings.Address); err != nil {
+	if b.link, err = b.network.ListenUDP(b.settings.Address); err != nil {
 		return errors.Join(err, b.fabric.Close())
 	}
 	b.forwarder = NewForwarder(ForwarderConfig{
@@ -149,9 +167,9 @@
 // Run serves until ctx ends, which stops at once, or until drain ends and no
 // packet arrives any more.
 func (b *Balancer) Run(ctx, drain context.Context) error {
-	listener, err := net.Listen("tcp", b.settings.Stream.String())
+	listener, err := b.network.ListenTCP(b.settings.Stream)
 	if err != nil {
-		return errkind.Wrap(err, errkind.Unavailable, "cannot bind the stream address", "choose a free address of this instance")
+		return err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/balancer/forwarder.go
+++ b/internal/balancer/forwarder.go
@@ -23,11 +23,11 @@
 // ForwarderConfig configures a Forwarder.
 type ForwarderConfig struct {
 	// Fabric is the socket that the fabric sends callers' packets to.
-	Fabric *udpbatch.Socket
+	Fabric udpbatch.Conn
 	// FabricAddr is where packets for callers are sent.
 	FabricAddr netip.AddrPort
 	// Link is the socket of envelopes, whose address identifies the balancer.
-	Link *udpbatch.Socket
+	Link udpbatch.Conn
 	// Codec decodes connection IDs.
 	Codec *connid.Codec
 	// Sealer and Opener protect envelopes.
@@ -119,7 +119,7 @@
 	}
 }
 
-func (f *Forwarder) inbound(now time.Time, router *routing.Router, table *routing.Table, datagram []byte, writer *udpbatch.Writer) {
+func (f *Forwarder) inbound(now time.Time, router *routing.Router, table *routing.Table, datagram []byte, writer udpbatch.Writer) {
 	packet, err := fabriclink.Decode(datagram)
 	if err != nil {
 		f.config.Metrics.foreignFabric.Inc()
@@ -180,7 +180,7 @@
 	}
 }
 
-func (f *Forwarder) outbound(message *envelope.Envelope, from netip.AddrPort, writer *udpbatch.Writer) {
+func (f *Forwarder) outbound(message *envelope.Envelope, from netip.AddrPort, writer udpbatch.Writer) {
 	switch message.Type {
 	case envelope.Control:
 		f.config.HandleControl(from, append([]byte(nil), message.Payload...))
@@ -194,7 +194,7 @@
 // reply sends an agent's packet to its caller. A packet of one service never
 // leaves from the address of another. An address that is not known here yet is
 // let through, since the sealed envelope proves that an agent sent it.
-func (f *Forwarder) reply(message *envelope.Envelope, writer *udpbatch.Writer) {
+func (f *Forwarder) reply(message *envelope.Envelope, writer udpbatch.Writer) {
 	known := f.table.Load().ByAddr(message.Front)
 	if known != nil && known.ID != message.Service {
 		f.config.Metrics.replyOtherService.Inc()
--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -36,13 +36,20 @@
 	if cfg.Dispatch != nil {
 		return backend{base: cfg.Backend, repeatable: cfg.Dispatch, single: cfg.Dispatch}
 	}
-	return backend{base: cfg.Backend, repeatable: newBackendTransport(true), single: newBackendTransport(false)}
+	return backend{base: cfg.Backend, repeatable: newBackendTransport(cfg, true), single: newBackendTransport(cfg, false)}
 }
 
-func newBackendTransport(keepAlive bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: backendDialTimeout}
+func newBackendTransport(cfg Config, keepAlive bool) *http.Transport {
+	dial := (&net.Dialer{Timeout: backendDialTimeout}).DialContext
+	if cfg.Dial != nil {
+		dial = func(ctx context.Context, _, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, backendDialTimeout)
+			defer cancel()
+			return cfg.Dial(ctx, address)
+		}
+	}
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dial,
 		DisableCompression:     true,
 		DisableKeepAlives:      !keepAlive,
 		MaxIdleConnsPerHost:    backendIdleConns,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,8 @@
 package gateway
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -82,6 +84,8 @@
 	Ramp admission.Ramp
 	// Log receives one line for each event. Nil uses the default logger.
 	Log log.Interface
+	// Dial connects to the backend server. Nil uses the system's network.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Dispatch sends requests to the backend server in place of the HTTP/1.1
 	// transports of this package. Nil uses those.
 	Dispatch http.RoundTripper
--- a/internal/stream/dialer.go
+++ b/internal/stream/dialer.go
@@ -23,12 +23,17 @@
 // Dialer opens connections to the stream addresses of peers.
 type Dialer struct {
 	identity *pki.Identity
+	connect  Connect
 	relay    *http.Transport
 }
 
-// NewDialer returns a dialer that authenticates with identity.
-func NewDialer(identity *pki.Identity) *Dialer {
-	dialer := &Dialer{identity: identity}
+// Connect opens a TCP connection to an address written as IP:port.
+type Connect func(ctx context.Context, address string) (net.Conn, error)
+
+// NewDialer returns a dialer that authenticates with identity. Its connections
+// are opened by connect.
+func NewDialer(identity *pki.Identity, connect Connect) *Dialer {
+	dialer := &Dialer{identity: identity, connect: connect}
 	dialer.relay = dialer.newTransport()
 	return dialer
 }
@@ -55,7 +60,7 @@
 func (d *Dialer) dial(ctx context.Context, address string, config *tls.Config) (*tls.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
-	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	raw, err := d.connect(ctx, address)
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.Unavailable, "stream connection", "check that the peer runs and its stream address is reachable")
 	}
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -18,6 +18,7 @@
 	"golang.org/x/net/http2"
 
 	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/network"
 	"github.com/almondledge/almondledge/internal/pki"
 )
 
@@ -50,7 +51,7 @@
 }
 
 func (f fleet) dialer(role pki.Role) *Dialer {
-	dialer := NewDialer(f.identity(role))
+	dialer := NewDialer(f.identity(role), network.System{}.DialTCP)
 	f.t.Cleanup(dialer.Close)
 	return dialer
 }
--- a/internal/udpbatch/udpbatch.go
+++ b/internal/udpbatch/udpbatch.go
@@ -22,7 +22,44 @@
 	maxCachedAddrs = 65_536
 )
 
-// Socket is a bound UDP socket. It is safe for concurrent use.
+// Conn is a bound UDP socket with batched reads and writes. It is safe for
+// concurrent use.
+type Conn interface {
+	// NewReader returns a reader of the socket.
+	NewReader() Reader
+	// NewWriter returns a writer to the socket.
+	NewWriter() Writer
+	// WriteTo sends one datagram.
+	WriteTo(datagram []byte, to netip.AddrPort) error
+	// LocalAddr returns the address that the socket is bound to.
+	LocalAddr() netip.AddrPort
+	// Close closes the socket; blocked reads return net.ErrClosed.
+	Close() error
+}
+
+// Reader reads batches of datagrams. It is used by one goroutine.
+type Reader interface {
+	// Read waits for datagrams and returns how many there are.
+	Read() (int, error)
+	// Datagram returns datagram i of the last batch; it is valid until the next Read.
+	Datagram(i int) []byte
+	// From returns the sender of datagram i of the last batch.
+	From(i int) netip.AddrPort
+}
+
+// Writer collects datagrams and sends them in batches. It is used by one goroutine.
+type Writer interface {
+	// Buffer returns an empty buffer for the next datagram.
+	Buffer() []byte
+	// Queue adds a datagram that was built in Buffer. It returns the number of
+	// datagrams that could not be sent, if the batch had to be flushed.
+	Queue(datagram []byte, to netip.AddrPort) int
+	// Flush sends what was queued and returns the number of datagrams that could
+	// not be sent.
+	Flush() int
+}
+
+// Socket is a UDP socket of the operating system.
 type Socket struct {
 	udp   *net.UDPConn
 	batch *ipv4.PacketConn
@@ -61,16 +98,16 @@
 	return err
 }
 
-// Reader reads batches from a socket. It is used by one goroutine.
-type Reader struct {
+// socketReader is the Reader of a Socket.
+type socketReader struct {
 	socket   *Socket
 	messages []ipv4.Message
 	count    int
 }
 
 // NewReader returns a reader of s.
-func (s *Socket) NewReader() *Reader {
-	reader := &Reader{socket: s, messages: make([]ipv4.Message, Size)}
+func (s *Socket) NewReader() Reader {
+	reader := &socketReader{socket: s, messages: make([]ipv4.Message, Size)}
 	for i := range reader.messages {
 		reader.messages[i].Buffers = [][]byte{make([]byte, MaxDatagram)}
 	}
@@ -78,7 +115,7 @@
 }
 
 // Read waits for datagrams and returns how many there are.
-func (r *Reader) Read() (int, error) {
+func (r *socketReader) Read() (int, error) {
 	count, err := r.socket.batch.ReadBatch(r.messages, 0)
 	if err != nil {
 		return 0, err
@@ -88,12 +125,12 @@
 }
 
 // Datagram returns datagram i of the last batch; it is valid until the next Read.
-func (r *Reader) Datagram(i int) []byte {
+func (r *socketReader) Datagram(i int) []byte {
 	return r.messages[i].Buffers[0][:r.messages[i].N]
 }
 
 // From returns the sender of datagram i of the last batch.
-func (r *Reader) From(i int) netip.AddrPort {
+func (r *socketReader) From(i int) netip.AddrPort {
 	addr, ok := r.messages[i].Addr.(*net.UDPAddr)
 	if !ok {
 		return netip.AddrPort{}
@@ -102,8 +139,8 @@
 	return netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 }
 
-// Writer collects datagrams and sends them in batches. It is used by one goroutine.
-type Writer struct {
+// socketWriter is the Writer of a Socket.
+type socketWriter struct {
 	socket   *Socket
 	messages []ipv4.Message
 	buffers  [][]byte
@@ -112,8 +149,8 @@
 }
 
 // NewWriter returns a writer to s.
-func (s *Socket) NewWriter() *Writer {
-	writer := &Writer{
+func (s *Socket) NewWriter() Writer {
+	writer := &socketWriter{
 		socket:   s,
 		messages: make([]ipv4.Message, Size),
 		buffers:  make([][]byte, Size),
@@ -127,13 +164,13 @@
 }
 
 // Buffer returns an empty buffer for the next datagram.
-func (w *Writer) Buffer() []byte {
+func (w *socketWriter) Buffer() []byte {
 	return w.buffers[w.count][:0]
 }
 
 // Queue adds a datagram that was built in Buffer. It returns the number of
 // datagrams that could not be sent, if the batch had to be flushed.
-func (w *Writer) Queue(datagram []byte, to netip.AddrPort) int {
+func (w *socketWriter) Queue(datagram []byte, to netip.AddrPort) int {
 	w.messages[w.count].Buffers[0] = datagram
 	w.messages[w.count].Addr = w.addr(to)
 	w.count++
@@ -145,7 +182,7 @@
 
 // Flush sends what was queued and returns the number of datagrams that could
 // not be sent. A datagram that fails does not hold back those behind it.
-func (w *Writer) Flush() int {
+func (w *socketWriter) Flush() int {
 	failed := 0
 	pending := w.messages[:w.count]
 	for len(pending) > 0 {
@@ -160,7 +197,7 @@
 	return failed
 }
 
-func (w *Writer) addr(to netip.AddrPort) *net.UDPAddr {
+func (w *socketWriter) addr(to netip.AddrPort) *net.UDPAddr {
 	cached, ok := w.addrs[to]
 	if ok {
 		return cached
