--- a/internal/lab/caller/flow.go
+++ b/internal/lab/caller/flow.go
@@ -48,6 +48,8 @@
 	KeepAlive time.Duration
 	// OnEnd is called when a connection ends, unless Close ended it. It may be nil.
 	OnEnd func(End)
+	// Listen opens the socket of a flow. Nil opens one of the system.
+	Listen func() (net.PacketConn, error)
 }
 
 // End tells how a connection ended.
@@ -96,17 +98,14 @@
 	setDefault(&cfg.HandshakeTimeout, defaultHandshakeTimeout)
 	setDefault(&cfg.IdleTimeout, defaultIdleTimeout)
 	setDefault(&cfg.KeepAlive, defaultKeepAlive)
-	network := "udp4"
-	if cfg.Address.Addr().Is6() {
-		network = "udp6"
+	listen := cfg.Listen
+	if listen == nil {
+		listen = func() (net.PacketConn, error) { return listenSystem(cfg.Address) }
 	}
-	conn, err := net.ListenUDP(network, nil)
+	conn, err := listen()
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.Unavailable, "cannot open a socket", "raise the limit of open files or open fewer flows")
 	}
-	// Smaller buffers than asked for are fine; they only raise the loss under load.
-	_ = conn.SetReadBuffer(socketBuffer)
-	_ = conn.SetWriteBuffer(socketBuffer)
 	return &Flow{
 		cfg:       cfg,
 		transport: &http3.Transport{DisableCompression: true},
@@ -114,6 +113,22 @@
 	}, nil
 }
 
+// listenSystem opens a socket that reaches address.
+func listenSystem(address netip.AddrPort) (net.PacketConn, error) {
+	network := "udp4"
+	if address.Addr().Is6() {
+		network = "udp6"
+	}
+	conn, err := net.ListenUDP(network, nil)
+	if err != nil {
+		return nil, err
+	}
+	// Smaller buffers than asked for are fine; they only raise the loss under load.
+	_ = conn.SetReadBuffer(socketBuffer)
+	_ = conn.SetWriteBuffer(socketBuffer)
+	return conn, nil
+}
+
 func setDefault(d *time.Duration, value time.Duration) {
 	if *d == 0 {
 		*d = value
--- a/internal/standin/backend/announce.go
+++ b/internal/standin/backend/announce.go
@@ -61,7 +61,7 @@
 		return
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := s.cfg.Client.Do(req)
 	if err != nil {
 		return
 	}
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -59,6 +59,10 @@
 	Seed uint64
 	// DrainTimeout bounds the time between SIGTERM and the stop.
 	DrainTimeout time.Duration
+	// ListenTCP opens the listener. Nil opens one of the system.
+	ListenTCP func(netip.AddrPort) (net.Listener, error)
+	// Client posts the announcements. Nil uses http.DefaultClient.
+	Client *http.Client
 }
 
 // Server is a running backend server.
@@ -83,6 +87,12 @@
 
 // New starts a backend server.
 func New(cfg Config) (*Server, error) {
+	if cfg.ListenTCP == nil {
+		cfg.ListenTCP = func(addr netip.AddrPort) (net.Listener, error) { return net.Listen("tcp", addr.String()) }
+	}
+	if cfg.Client == nil {
+		cfg.Client = http.DefaultClient
+	}
 	ledger, err := OpenLedger(cfg.Ledger)
 	if err != nil {
 		return nil, err
@@ -130,7 +140,7 @@
 	if s.http != nil {
 		return nil
 	}
-	listener, err := net.Listen("tcp", s.addr.String())
+	listener, err := s.cfg.ListenTCP(s.addr)
 	if err != nil {
 		return errkind.Wrap(err, errkind.Unavailable, "cannot bind "+s.addr.String(), "choose a free local address")
 	}
