Change tickets: every fault at every step, races and a property test

Cause: what a submission reports must hold for good, also when a lost write lands after a read-back found nothing. Found by the table: with reads in two parts, a write of the ticket itself that landed between them looked like a conflict; read now asks for the counter again and starts over if it moved. Found by the races: of two removals the loser's conflict showed no state; an ID that another ticket took in a race was reported as a conflict instead of as an ID in use. Ruled out: settling an unanswered write by one read-back alone. The write may land later; only its ID in the store, or a counter that moved on, settles it. Change: 7 faults at 6 calls, once, twice and for good, and every pair of them; both race orders; a write that lands after another ticket won; a restored store; rapid with 2 to 4 submitters. All on a fake clock without sockets. Conclusion: no case in the table reports an outcome that the store belies.

--- /dev/null
+++ b/internal/ticket/fault_test.go
@@ -0,0 +1,215 @@
+package ticket
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/standin/platform"
+	"github.com/almondledge/almondledge/internal/store"
+)
+
+var faultNames = map[platform.Fault]string{
+	platform.Refuse: "refuse", platform.LoseRequest: "lose request", platform.LoseAnswer: "lose answer",
+	platform.Reject: "reject", platform.FailBefore: "fail before", platform.FailAfter: "fail after",
+	platform.Late: "late",
+}
+
+// String names the burst in the name of a test.
+func (b burst) String() string {
+	return fmt.Sprintf("%s at call %d times %d", faultNames[b.fault], b.first, b.count)
+}
+
+// faultCases is every fault at each of the first calls (two reads, transaction,
+// two reads back, transaction again), once, twice and for good; and every pair
+// of faults.
+func faultCases() [][]burst {
+	const calls = 6
+	var cases [][]burst
+	for fault := platform.Refuse; fault <= platform.Late; fault++ {
+		for first := 1; first <= calls; first++ {
+			for _, count := range []int{1, 2, forever} {
+				cases = append(cases, []burst{{fault, first, count}})
+			}
+			for second := platform.Refuse; second <= platform.Late; second++ {
+				for next := first + 1; next <= calls; next++ {
+					cases = append(cases, []burst{{fault, first, 1}, {second, next, 1}})
+					cases = append(cases, []burst{{fault, first, 1}, {second, next, forever}})
+				}
+			}
+		}
+	}
+	return cases
+}
+
+// TestEveryFaultAtEveryStep checks that what Submit reports holds for good, also
+// after writes that land late, and that the same ticket can always be submitted again.
+func TestEveryFaultAtEveryStep(t *testing.T) {
+	const soon = 120 * time.Millisecond
+	for _, lateBy := range []time.Duration{soon, time.Minute} {
+		for _, bursts := range faultCases() {
+			if lateBy == soon && !hasLate(bursts) {
+				continue
+			}
+			t.Run(fmt.Sprint(lateBy, bursts), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { submitUnderFaults(t, bursts, lateBy) })
+			})
+		}
+	}
+}
+
+func hasLate(bursts []burst) bool {
+	return slices.ContainsFunc(bursts, func(b burst) bool { return b.fault == platform.Late })
+}
+
+func submitUnderFaults(t *testing.T, bursts []burst, lateBy time.Duration) {
+	is := is.New(t)
+	p := platform.New(nil)
+	submitter := newSubmitter(p)
+	_, err := submitter.Submit(t.Context(), ticketOf("create", specOf(1, 5), specOf(3, 5)))
+	is.NoErr(err)
+
+	change := ticketOf("change", specOf(1, 7), specOf(2, 7))
+	change.Removed = []string{"service-3"}
+	faults := &script{bursts: bursts}
+	p.SetFaults(platform.Faults{LateBy: lateBy, Script: faults.decide})
+	outcome, err := submitter.Submit(t.Context(), change)
+	p.SetFaults(platform.Faults{LateBy: lateBy})
+	time.Sleep(settleTime)
+
+	_, missing := History{Store: submitter.Store}.Show(t.Context(), change.ID)
+	lasting := bursts[len(bursts)-1].count == forever
+	switch kind := errkind.Of(err); {
+	case err == nil:
+		is.NoErr(missing) // an accepted ticket is in force
+		is.Equal(outcome.Number, int64(2))
+	case kind == errkind.NotApplied:
+		is.True(lasting)                               // a passing fault does not refuse a ticket
+		is.True(errkind.Is(missing, errkind.NotFound)) // a ticket that was not applied never appears
+	default:
+		is.Equal(kind, errkind.Unknown)
+		is.True(lasting) // a passing fault is settled by reading back
+	}
+	again, err := submitter.Submit(t.Context(), change)
+	is.NoErr(err)
+	is.Equal(again.Number, int64(2))
+	is.Equal(audit(submitter), nil)
+}
+
+// hooked is a store that runs a function before a transaction.
+type hooked struct {
+	store.Store
+	before func()
+}
+
+// Commit runs the function once, then commits.
+func (h *hooked) Commit(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
+	if run := h.before; run != nil {
+		h.before = nil
+		run()
+	}
+	return h.Store.Commit(ctx, txn)
+}
+
+// TestRaces lets one ticket win between the read and the transaction of another.
+func TestRaces(t *testing.T) {
+	withAddress := specOf(9, 5)
+	withAddress.Address = specOf(2, 5).Address
+	based := ticketOf("winner", specOf(1, 8))
+	based.Bases = []Base{{Service: "service-1", Revision: 2}}
+	removal := Ticket{ID: "removal", Submitter: "mehmet", Removed: []string{"service-1"}}
+	cases := []struct {
+		name          string
+		winner, loser Ticket
+		kind          errkind.Kind
+	}{
+		{"same service", ticketOf("winner", specOf(1, 8)), ticketOf("loser", specOf(1, 9)), errkind.Conflict},
+		{"winner with a base", based, ticketOf("loser", specOf(1, 9)), errkind.Conflict},
+		{"one service of several", ticketOf("winner", specOf(1, 8)), ticketOf("loser", specOf(2, 5), specOf(1, 9)), errkind.Conflict},
+		{"both create", ticketOf("winner", specOf(2, 5)), ticketOf("loser", specOf(2, 9)), errkind.Conflict},
+		{"both take an address", ticketOf("winner", specOf(2, 5)), ticketOf("loser", withAddress), errkind.Conflict},
+		{"change after removal", removal, ticketOf("loser", specOf(1, 9)), errkind.Conflict},
+		{"removal after change", ticketOf("winner", specOf(1, 8)), removal, errkind.Conflict},
+		{"both remove", removal, Ticket{ID: "loser", Submitter: "ayse", Removed: []string{"service-1"}}, errkind.Conflict},
+		{"same ID, other content", ticketOf("same", specOf(2, 5)), ticketOf("same", specOf(1, 9)), errkind.Invalid},
+		{"same ticket", ticketOf("same", specOf(2, 5)), ticketOf("same", specOf(2, 5)), ""},
+		{"other services", ticketOf("winner", specOf(2, 5)), ticketOf("other", specOf(1, 9)), ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := platform.New(nil)
+				winner, loser := newSubmitter(p), newSubmitter(p)
+				_, err := winner.Submit(t.Context(), ticketOf("create", specOf(1, 5)))
+				is.NoErr(err)
+				loser.Store = &hooked{Store: loser.Store, before: func() {
+					_, err := winner.Submit(t.Context(), c.winner)
+					is.NoErr(err)
+				}}
+				_, err = loser.Submit(t.Context(), c.loser)
+				is.Equal(errkind.Of(err), c.kind)
+				var conflict *ConflictError
+				if c.kind == errkind.Conflict {
+					is.True(errors.As(err, &conflict))
+					is.True(len(conflict.Current) > 0) // the conflict shows the current state
+				}
+				is.Equal(audit(winner), nil)
+			})
+		})
+	}
+}
+
+// TestLostWriteOvertaken lets a lost write land after another ticket won.
+func TestLostWriteOvertaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := platform.New(nil)
+		slow, fast := newSubmitter(p), newSubmitter(p)
+		_, err := fast.Submit(t.Context(), ticketOf("create", specOf(1, 5)))
+		is.NoErr(err)
+		faults := &script{bursts: []burst{{platform.Late, 2, forever}}}
+		p.SetFaults(platform.Faults{LateBy: time.Minute, Script: faults.decide})
+		_, err = slow.Submit(t.Context(), ticketOf("slow", specOf(1, 8)))
+		is.Equal(errkind.Of(err), errkind.Unknown)
+		p.SetFaults(platform.Faults{})
+		_, err = fast.Submit(t.Context(), ticketOf("fast", specOf(1, 9)))
+		is.NoErr(err)
+		time.Sleep(settleTime)
+		_, err = History{Store: fast.Store}.Show(t.Context(), "slow")
+		is.Equal(errkind.Of(err), errkind.NotFound)
+		is.Equal(audit(fast), nil)
+	})
+}
+
+// TestRestoredStore checks that a store from an older state is refused, also
+// when its revisions climb past those seen.
+func TestRestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := platform.New(nil)
+		submitter := newSubmitter(p)
+		_, err := submitter.Submit(t.Context(), ticketOf("create", specOf(1, 5)))
+		is.NoErr(err)
+		before := p.Revision()
+		_, err = submitter.Submit(t.Context(), ticketOf("change", specOf(1, 8)))
+		is.NoErr(err)
+		p.Restore(before)
+		_, err = submitter.Submit(t.Context(), ticketOf("next", specOf(1, 9)))
+		is.Equal(errkind.Of(err), errkind.Stale)
+		other := newSubmitter(p)
+		for _, id := range []string{"other-1", "other-2", "other-3"} {
+			_, err = other.Submit(t.Context(), ticketOf(id, specOf(2, 5)))
+			is.NoErr(err)
+		}
+		_, err = submitter.Submit(t.Context(), ticketOf("next", specOf(1, 9)))
+		is.Equal(errkind.Of(err), errkind.Stale)
+	})
+}
--- a/internal/ticket/plan.go
+++ b/internal/ticket/plan.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/almondledge/almondledge/internal/errkind"
@@ -170,7 +171,11 @@
 	if !given || base == revision {
 		return nil
 	}
-	return conflict(p.current, fmt.Sprintf("service %s is at revision %d, and the ticket was written against %d", name, revision, base), nil)
+	current := p.current
+	if state == nil {
+		current.Services = append(slices.Clone(current.Services), ServiceState{Name: name})
+	}
+	return conflict(current, fmt.Sprintf("service %s is at revision %d, and the ticket was written against %d", name, revision, base), nil)
 }
 
 // write puts the record of a service and notes the change.
--- /dev/null
+++ b/internal/ticket/property_test.go
@@ -0,0 +1,136 @@
+package ticket
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/service"
+	"github.com/almondledge/almondledge/internal/standin/platform"
+)
+
+// step is one submission of one submitter.
+type step struct {
+	ticket Ticket
+	wait   time.Duration
+	err    error
+}
+
+// drawTicket draws a change of some of three services, or the removal of one.
+func drawTicket(t *rapid.T, id string) Ticket {
+	drawn := Ticket{ID: id, Submitter: "ayse"}
+	for number := service.ID(1); number <= 3; number++ {
+		switch rapid.IntRange(0, 9).Draw(t, "action") {
+		case 0, 1, 3, 4:
+			drawn.Services = append(drawn.Services, specOf(number, rapid.IntRange(1, 99).Draw(t, "slots")))
+		case 2:
+			drawn.Removed = append(drawn.Removed, specOf(number, 1).Name)
+		}
+	}
+	if len(drawn.Services)+len(drawn.Removed) == 0 {
+		drawn.Services = []service.Spec{specOf(1, 5)}
+	}
+	return drawn
+}
+
+// faultList hands out drawn faults, one a call, then none.
+type faultList struct {
+	mu     sync.Mutex
+	faults []platform.Fault
+}
+
+func (f *faultList) next(string) platform.Fault {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.faults) == 0 {
+		return platform.None
+	}
+	fault := f.faults[0]
+	f.faults = f.faults[1:]
+	return fault
+}
+
+// TestRacingSubmittersUnderFaults checks what must hold of any run of several
+// submitters: the audit, and that every error tells the truth.
+func TestRacingSubmittersUnderFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		submitters := rapid.IntRange(2, 4).Draw(rt, "submitters")
+		lateBy := time.Duration(rapid.IntRange(1, 20_000).Draw(rt, "late by, ms")) * time.Millisecond
+		faults := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) platform.Fault {
+			return platform.Fault(rapid.IntRange(int(platform.None), int(platform.Late)).Draw(t, "fault"))
+		}), 0, 60).Draw(rt, "faults")
+		runs := make([][]step, submitters)
+		for i := range runs {
+			for j := range rapid.IntRange(1, 4).Draw(rt, "steps") {
+				// Some IDs are shared between submitters, with other content.
+				id := fmt.Sprintf("ticket-%d-%d", rapid.IntRange(0, i).Draw(rt, "owner"), j)
+				wait := time.Duration(rapid.IntRange(0, 300).Draw(rt, "wait, ms")) * time.Millisecond
+				runs[i] = append(runs[i], step{ticket: drawTicket(rt, id), wait: wait})
+			}
+		}
+		var problems []string
+		synctest.Test(t, func(*testing.T) { problems = race(runs, faults, lateBy) })
+		if len(problems) > 0 {
+			rt.Fatalf("%v", problems)
+		}
+	})
+}
+
+// race runs the submitters side by side and returns what is wrong afterwards.
+func race(runs [][]step, faults []platform.Fault, lateBy time.Duration) []string {
+	p := platform.New(nil)
+	list := &faultList{faults: faults}
+	p.SetFaults(platform.Faults{LateBy: lateBy, Script: list.next})
+	var group sync.WaitGroup
+	for _, steps := range runs {
+		group.Go(func() {
+			submitter := newSubmitter(p)
+			for i := range steps {
+				time.Sleep(steps[i].wait)
+				_, steps[i].err = submitter.Submit(context.Background(), steps[i].ticket)
+			}
+		})
+	}
+	group.Wait()
+	p.SetFaults(platform.Faults{LateBy: lateBy})
+	time.Sleep(settleTime)
+	submitter := newSubmitter(p)
+	problems := audit(submitter)
+	submissions := make(map[string]int)
+	for _, steps := range runs {
+		for _, s := range steps {
+			submissions[s.ticket.ID+s.ticket.Digest()]++
+		}
+	}
+	for _, steps := range runs {
+		for _, s := range steps {
+			if problem := checkClaim(submitter, s, submissions[s.ticket.ID+s.ticket.Digest()] == 1); problem != "" {
+				problems = append(problems, problem)
+			}
+		}
+	}
+	return problems
+}
+
+// checkClaim compares what Submit reported with the store. A ticket that was
+// submitted more than once may be refused here and accepted there.
+func checkClaim(submitter *Submitter, s step, once bool) string {
+	record, missing := History{Store: submitter.Store}.Show(context.Background(), s.ticket.ID)
+	inForce := missing == nil && record.Digest == s.ticket.Digest()
+	kind := errkind.Of(s.err)
+	switch {
+	case s.err == nil && !inForce:
+		return fmt.Sprintf("ticket %s was accepted and is not in force", s.ticket.ID)
+	case s.err != nil && kind != errkind.Unknown && inForce && once:
+		return fmt.Sprintf("ticket %s was refused as %s and is in force", s.ticket.ID, kind)
+	case s.err != nil && kind == "":
+		return fmt.Sprintf("ticket %s has an untyped error: %v", s.ticket.ID, s.err)
+	}
+	return ""
+}
--- a/internal/ticket/submit.go
+++ b/internal/ticket/submit.go
@@ -175,6 +175,7 @@
 func (r *submission) settled(current Current) (Outcome, error) {
 	r.pending = noPending
 	if current.submitted.Digest != r.digest {
+		r.raced = false
 		return Outcome{}, invalid(
 			fmt.Sprintf("the ID %s belongs to ticket %d, which has other content", r.ticket.ID, current.submitted.Number),
 			"choose a new ID; ticket show "+r.ticket.ID+" prints the ticket that has it")
@@ -206,7 +207,8 @@
 	}
 }
 
-// read returns what the store holds of everything that t touches.
+// read returns what the store holds of everything that t touches, all of it
+// between the same two tickets.
 func (s *Submitter) read(ctx context.Context, t Ticket) (Current, error) {
 	var current Current
 	snapshot, err := s.Store.GetAll(ctx, keysOf(t))
@@ -220,13 +222,18 @@
 	if len(missing) == 0 {
 		return current, nil
 	}
-	// The second read may see a later revision than the first. That is safe,
-	// because the transaction compares every revision that it rests on.
-	snapshot, err = s.Store.GetAll(ctx, missing)
+	counter := current.counterRevision
+	snapshot, err = s.Store.GetAll(ctx, append(missing, CounterKey))
 	if err != nil {
 		return current, err
 	}
-	return current, current.add(t, snapshot.Entries)
+	if err := current.add(t, snapshot.Entries); err != nil {
+		return current, err
+	}
+	if current.counterRevision != counter {
+		return current, errkind.New(errkind.Unavailable, "another ticket came between two reads", "submit the ticket again")
+	}
+	return current, nil
 }
 
 func (s *Submitter) timeout() time.Duration {
