--- a/internal/control/agent.go
+++ b/internal/control/agent.go
@@ -232,7 +232,11 @@
 	if m.Revision <= own.Revision() {
 		return
 	}
-	if own.Revision() > 0 && m.ServiceRevision == own.ServiceRevision(a.n.self.Service) {
+	held := own.ServiceRevision(a.n.self.Service)
+	if _, live := own.ByID(a.n.self.Service); !live && m.ServiceRevision == 0 {
+		held = 0 // the balancer has forgotten the tombstone
+	}
+	if own.Revision() > 0 && m.ServiceRevision == held {
 		_ = a.n.apply(catalog.Delta{From: own.Revision(), To: m.Revision})
 		return
 	}
--- a/internal/control/balancer.go
+++ b/internal/control/balancer.go
@@ -20,7 +20,8 @@
 	gossip   *gossip
 	detector *detector
 	repair   *repair
-	status   status
+	reach    *reach
+	status   *status
 	// joined is set once a peer's table was merged, or no peer could be found.
 	joined   bool
 	started  time.Time
@@ -37,6 +38,8 @@
 	b.gossip = newGossip(b)
 	b.detector = newDetector(now, b)
 	b.repair = newRepair(now, b)
+	b.reach = newReach(b)
+	b.status = &status{b: b}
 	b.learn(now, n.self)
 	return b
 }
@@ -46,7 +49,9 @@
 	b.join(now)
 	b.updateOwners(now)
 	b.detector.tick(now)
+	b.reach.tick(now)
 	b.repair.tick(now)
+	b.status.tick(now)
 	b.gossip.tick(now)
 }
 
@@ -76,7 +81,7 @@
 func (b *balancer) changed(now time.Time, m member.Member) {
 	b.gossip.add(m, b.spreadLimit())
 	b.detector.changed(now, m)
-	if m.Kind == member.Balancer || m.DataCentre == b.n.self.DataCentre {
+	if m.Kind == member.Balancer || b.judges(m.DataCentre) {
 		b.ownersDirty = true
 	}
 	b.n.notify(Notice{Kind: NoticePresence})
@@ -91,6 +96,7 @@
 
 func (b *balancer) handle(now time.Time, from netip.AddrPort, m Message) {
 	b.detector.heard(now, from)
+	b.reach.heard(now, from)
 	switch m := m.(type) {
 	case *Announce:
 		b.handleAnnounce(now, from, m)
@@ -105,7 +111,7 @@
 	case *Digest:
 		b.repair.handleDigest(now, from, m)
 	case *StatusQuery:
-		b.status.handleQuery(now, b, from, m)
+		b.status.handleQuery(now, from, m)
 	case *StatusReply:
 		b.status.handleReply(from, m)
 	default:
@@ -170,9 +176,33 @@
 	ackPeers     = 3
 )
 
-// owners returns the balancers that should observe an agent.
+// owners returns the balancers that should observe an agent: those of its data
+// centre, or any when it has none alive.
 func (b *balancer) owners(agent netip.AddrPort, dataCentre string) []netip.AddrPort {
-	return presence.Rank(presence.AddrKey(agent), b.table.Balancers(dataCentre), observers)
+	candidates := b.table.Balancers(dataCentre)
+	if !b.hasBalancers(dataCentre) {
+		candidates = nil
+		for _, other := range b.table.DataCentres() {
+			candidates = append(candidates, b.table.Balancers(other)...)
+		}
+	}
+	return presence.Rank(presence.AddrKey(agent), candidates, observers)
+}
+
+// hasBalancers reports whether a data centre has a live balancer.
+func (b *balancer) hasBalancers(dataCentre string) bool {
+	for _, r := range b.table.Balancers(dataCentre) {
+		if r.State.TakesNewFlows() {
+			return true
+		}
+	}
+	return false
+}
+
+// judges reports whether this node takes part in judging the members of a data
+// centre: its own, and those that have no balancer to do it.
+func (b *balancer) judges(dataCentre string) bool {
+	return dataCentre == b.n.self.DataCentre || !b.hasBalancers(dataCentre)
 }
 
 func (b *balancer) sampleBalancers(n int) addrList {
@@ -320,7 +350,6 @@
 		return
 	}
 	b.learn(now, sender)
-	b.status.note(sender.Addr, revision)
 	if revision > b.n.catalog.Revision() {
 		b.n.pullCatalog(now, sender.Addr, sender.Stream, 0)
 	}
@@ -377,6 +406,17 @@
 	}
 }
 
+// contactFar pings a seed and a balancer of another data centre, to find out
+// whether this node can receive at all.
+func (b *balancer) contactFar(now time.Time) {
+	if seeds := b.n.cfg.Seeds; len(seeds) > 0 {
+		b.contact(now, seeds[b.n.cfg.Rand.IntN(len(seeds))])
+	}
+	if r := b.randomRemote(); r != nil {
+		b.contact(now, r.Addr)
+	}
+}
+
 // contact pings a member and tells it what this node holds against it.
 func (b *balancer) contact(now time.Time, to netip.AddrPort) {
 	if to == b.n.self.Addr {
@@ -398,7 +438,16 @@
 	b.ownersDirty = false
 	b.nextOwners = now.Add(ownerPeriod)
 	b.updateWatching()
-	b.table.Agents(b.n.self.DataCentre, func(r *presence.Record) {
+	for _, dataCentre := range b.table.AgentDataCentres() {
+		if b.judges(dataCentre) {
+			b.claimAgents(now, dataCentre)
+		}
+	}
+}
+
+// claimAgents starts to observe the agents of a data centre that this node owns.
+func (b *balancer) claimAgents(now time.Time, dataCentre string) {
+	b.table.Agents(dataCentre, func(r *presence.Record) {
 		if r.State == member.Dead || b.detector.observes(r.Addr) {
 			return
 		}
@@ -426,6 +475,7 @@
 // thaw restarts all waits after the process was frozen.
 func (b *balancer) thaw(now time.Time) {
 	b.detector.thaw(now)
+	b.reach.thaw(now)
 	b.n.pull.until = time.Time{}
 	b.repair.pulling = time.Time{}
 }
--- a/internal/control/codec.go
+++ b/internal/control/codec.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"reflect"
 
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
 
 	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/member"
@@ -46,6 +48,9 @@
 	if m == nil {
 		return nil, badMessage(fmt.Errorf("type %d", payload[0]))
 	}
+	if fields := reflect.TypeOf(m).Elem().NumField(); payload[1] != msgpcode.FixedArrayLow|byte(fields) {
+		return nil, badMessage(fmt.Errorf("not an array of %d fields", fields))
+	}
 	r := bytes.NewReader(payload[1:])
 	if err := msgpack.NewDecoder(r).Decode(m); err != nil {
 		return nil, badMessage(err)
@@ -53,6 +58,9 @@
 	if r.Len() > 0 {
 		return nil, badMessage(fmt.Errorf("%d bytes too many", r.Len()))
 	}
+	if err := m.check(); err != nil {
+		return nil, badMessage(err)
+	}
 	return m, nil
 }
 
@@ -127,10 +135,14 @@
 	if err := a.UnmarshalBinary(b); err != nil {
 		return a, err
 	}
+	return a, checkAddr(a)
+}
+
+func checkAddr(a netip.AddrPort) error {
 	if !a.IsValid() || a.Port() == 0 {
-		return a, fmt.Errorf("bad address %v", a)
+		return fmt.Errorf("bad address %v", a)
 	}
-	return a, nil
+	return nil
 }
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
@@ -157,14 +169,14 @@
 }
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
-func (m memberRecord) EncodeMsgpack(e *msgpack.Encoder) error {
+func (m MemberRecord) EncodeMsgpack(e *msgpack.Encoder) error {
 	return encodeMember(e, member.Member(m))
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
-func (m *memberRecord) DecodeMsgpack(d *msgpack.Decoder) error {
+func (m *MemberRecord) DecodeMsgpack(d *msgpack.Decoder) error {
 	v, err := decodeMember(d)
-	*m = memberRecord(v)
+	*m = MemberRecord(v)
 	return err
 }
 
@@ -306,6 +318,9 @@
 }
 
 func checkMember(m member.Member) error {
+	if err := checkAddr(m.Addr); err != nil {
+		return err
+	}
 	if m.Kind != member.Balancer && m.Kind != member.Agent {
 		return fmt.Errorf("bad kind %d", m.Kind)
 	}
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -73,7 +73,7 @@
 	defaultGossipPeriod   = 200 * time.Millisecond
 	defaultRepairPeriod   = 2 * time.Second
 	defaultRejoinPeriod   = 5 * time.Second
-	defaultPullTimeout    = 5 * time.Second
+	defaultPullTimeout    = 3 * time.Second
 	defaultFreezeLimit    = 1500 * time.Millisecond
 )
 
--- a/internal/control/detector.go
+++ b/internal/control/detector.go
@@ -14,8 +14,6 @@
 	// doubtTime is the silence of everybody after which a node doubts itself
 	// rather than the others.
 	doubtTime = time.Second
-	// doubtLimit is how long a node doubts itself.
-	doubtLimit = 10 * time.Second
 	// relayLifetime is how long the answer to a relayed probe is waited for.
 	relayLifetime = time.Second
 )
@@ -117,7 +115,7 @@
 
 // changed follows a new state of a member.
 func (d *detector) changed(now time.Time, m member.Member) {
-	if m.State == member.Suspect && m.DataCentre == d.b.n.self.DataCentre {
+	if m.State == member.Suspect && d.b.judges(m.DataCentre) {
 		deadline := now.Add(d.b.n.cfg.Timing.SuspectTimeout)
 		d.suspicions = append(d.suspicions, suspicion{m.Addr, m.Incarnation, deadline})
 	}
@@ -240,7 +238,11 @@
 		o.probing = false
 	}
 	r := d.b.table.Get(a)
-	if r == nil || d.doubtsItself(now) {
+	if r == nil {
+		return
+	}
+	if d.doubtsItself(now) {
+		d.b.contactFar(now)
 		return
 	}
 	m := r.Member
@@ -258,11 +260,11 @@
 }
 
 // doubtsItself reports whether this node hears nobody at all though it expects
-// to hear several: then its own link is the likelier fault.
+// to hear several: then its own link is the likelier fault. An answer from
+// another data centre or a seed ends the doubt.
 func (d *detector) doubtsItself(now time.Time) bool {
 	expected := len(d.order) + len(d.b.table.Balancers(d.b.n.self.DataCentre)) - 1
-	silence := now.Sub(d.lastInbound)
-	return expected > 1 && silence >= doubtTime && silence < doubtLimit
+	return expected > 1 && now.Sub(d.lastInbound) >= doubtTime
 }
 
 // checkSuspicions declares members dead that have not answered a suspicion.
@@ -327,7 +329,7 @@
 // unless this node is one of its owners.
 func (d *detector) release(o *observation) {
 	o.announced = false
-	owners := d.b.owners(o.addr, d.b.n.self.DataCentre)
+	owners := d.b.owners(o.addr, d.b.table.Get(o.addr).DataCentre)
 	if slices.Contains(owners, d.b.n.self.Addr) {
 		return
 	}
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -35,12 +35,14 @@
 // Message is one control message.
 type Message interface {
 	messageType() messageType
+	// check refuses what the codec cannot: fields sent as nil.
+	check() error
 }
 
 // Announce is an agent's statement about itself to a balancer that observes it.
 type Announce struct {
 	Sequence uint32
-	Self     memberRecord
+	Self     MemberRecord
 	// Revision is the catalog revision in force at the agent.
 	Revision int64
 }
@@ -68,7 +70,7 @@
 // Ping asks a member to answer at once.
 type Ping struct {
 	Sequence uint32
-	Self     memberRecord
+	Self     MemberRecord
 	Revision int64
 	Updates  memberList
 }
@@ -76,7 +78,7 @@
 // PingAck answers a Ping, directly or through the member that a PingRequest went to.
 type PingAck struct {
 	Sequence uint32
-	Self     memberRecord
+	Self     MemberRecord
 	Revision int64
 	// Released tells a balancer that the agent announces itself to others.
 	Released bool
@@ -92,7 +94,7 @@
 
 // Gossip carries changes to another balancer.
 type Gossip struct {
-	Self     memberRecord
+	Self     MemberRecord
 	Revision int64
 	Updates  memberList
 	Loads    loadList
@@ -100,7 +102,7 @@
 
 // Digest compares two member tables.
 type Digest struct {
-	Self     memberRecord
+	Self     MemberRecord
 	Revision int64
 	// Answer is set on a digest sent in answer to another.
 	Answer bool
@@ -113,18 +115,23 @@
 	Query uint32
 	// Wanted is the revision asked about.
 	Wanted int64
-	// Relay asks the receiver to ask the other balancers of its data centre.
+	// Relay asks the receiver to ask the other balancers of its data centre, and
+	// to reply for all of them.
 	Relay bool
 }
 
-// StatusReply answers a StatusQuery for the sender and the agents that it owns.
+// StatusReply answers a StatusQuery for the sender and the agents that it owns,
+// or for its whole data centre.
 type StatusReply struct {
-	Query    uint32
-	Revision int64
+	Query uint32
+	// DataCentre is set in a reply for a whole data centre.
+	DataCentre string
 	// Balancers and Agents count the nodes that the reply speaks for.
 	Balancers, Agents uint32
 	// Lagging counts those among them that do not have the revision in force.
 	Lagging uint32
+	// Silent counts the balancers of the data centre that did not reply.
+	Silent uint32
 	// Sample names some of the lagging nodes.
 	Sample addrList
 }
@@ -137,13 +144,15 @@
 	Load        uint8
 }
 
+// MemberRecord is a member in the compact form of messages.
+type MemberRecord member.Member
+
 type (
-	addr         netip.AddrPort
-	addrList     []netip.AddrPort
-	memberRecord member.Member
-	memberList   []member.Member
-	loadList     []loadReport
-	sums         [presence.Buckets]uint32
+	addr       netip.AddrPort
+	addrList   []netip.AddrPort
+	memberList []member.Member
+	loadList   []loadReport
+	sums       [presence.Buckets]uint32
 )
 
 func (*Announce) messageType() messageType    { return typeAnnounce }
@@ -155,3 +164,13 @@
 func (*Digest) messageType() messageType      { return typeDigest }
 func (*StatusQuery) messageType() messageType { return typeStatusQuery }
 func (*StatusReply) messageType() messageType { return typeStatusReply }
+
+func (m *Announce) check() error    { return checkMember(member.Member(m.Self)) }
+func (m *AnnounceAck) check() error { return checkAddr(netip.AddrPort(m.Stream)) }
+func (m *Ping) check() error        { return checkMember(member.Member(m.Self)) }
+func (m *PingAck) check() error     { return checkMember(member.Member(m.Self)) }
+func (m *PingRequest) check() error { return checkAddr(netip.AddrPort(m.Target)) }
+func (m *Gossip) check() error      { return checkMember(member.Member(m.Self)) }
+func (m *Digest) check() error      { return checkMember(member.Member(m.Self)) }
+func (*StatusQuery) check() error   { return nil }
+func (*StatusReply) check() error   { return nil }
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -47,6 +47,9 @@
 // New returns a node that starts at time now.
 func New(now time.Time, cfg Config) *Node {
 	cfg = cfg.withDefaults()
+	if !cfg.Self.Stream.IsValid() {
+		cfg.Self.Stream = cfg.Self.Addr
+	}
 	n := &Node{
 		cfg:      cfg,
 		self:     cfg.Self,
@@ -235,20 +238,22 @@
 	return nil
 }
 
-// send encodes and emits m if the budget of its class allows.
-func (n *Node) send(now time.Time, class Class, to netip.AddrPort, m Message) {
+// send encodes and emits m if the budget of its class allows, and reports whether it did.
+func (n *Node) send(now time.Time, class Class, to netip.AddrPort, m Message) bool {
 	payload, err := Encode(m)
 	if err != nil {
 		n.counters.BadMessages++
-		return
+		return false
 	}
-	n.sendPayload(now, class, to, payload)
+	return n.sendPayload(now, class, to, payload)
 }
 
-func (n *Node) sendPayload(now time.Time, class Class, to netip.AddrPort, payload []byte) {
-	if n.budget.allow(now, class, len(payload)) {
-		n.out = append(n.out, Datagram{To: to, Payload: payload, Class: class})
+func (n *Node) sendPayload(now time.Time, class Class, to netip.AddrPort, payload []byte) bool {
+	if !n.budget.allow(now, class, len(payload)) {
+		return false
 	}
+	n.out = append(n.out, Datagram{To: to, Payload: payload, Class: class})
+	return true
 }
 
 func (n *Node) notify(notice Notice) {
@@ -267,7 +272,7 @@
 }
 
 // record returns what the node says of itself in a message.
-func (n *Node) record() memberRecord { return memberRecord(n.self) }
+func (n *Node) record() MemberRecord { return MemberRecord(n.self) }
 
 // jitter returns a random time of at most limit.
 func (n *Node) jitter(limit time.Duration) time.Duration {
--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -113,7 +113,7 @@
 		return
 	}
 	for _, m := range members {
-		if checkMember(m) != nil || !m.Addr.IsValid() {
+		if checkMember(m) != nil {
 			r.b.n.counters.BadMessages++
 			continue
 		}
--- a/internal/controlplane/stream.go
+++ b/internal/controlplane/stream.go
@@ -24,7 +24,7 @@
 	// maxReplyBytes bounds a reply frame; a full table at the design size takes a third.
 	maxReplyBytes = 32 << 20
 	// requestTimeout bounds a whole exchange at the asking side.
-	requestTimeout = 5 * time.Second
+	requestTimeout = 3 * time.Second
 	// serveTimeout bounds one exchange at the answering side.
 	serveTimeout = 10 * time.Second
 )
--- a/internal/presence/table.go
+++ b/internal/presence/table.go
@@ -48,6 +48,8 @@
 	services    map[service.ID]map[GroupKey]bool
 	agentGroups map[string][]GroupKey
 	dataCentres []string
+	// unreachable lists the data centres that this node cannot talk to.
+	unreachable map[string]bool
 	// changed lists services with news; moving counts the agents of a service
 	// whose weight or routability changes with time.
 	changed map[service.ID]bool
@@ -69,6 +71,7 @@
 
 		services:    map[service.ID]map[GroupKey]bool{},
 		agentGroups: map[string][]GroupKey{},
+		unreachable: map[string]bool{},
 		changed:     map[service.ID]bool{},
 		moving:      map[service.ID]int{},
 	}
--- a/internal/presence/view.go
+++ b/internal/presence/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -16,10 +17,22 @@
 	Weight float64
 }
 
-// Candidates returns the routable agents of a service, sorted by address.
+// Candidates returns the routable agents of a service, sorted by address. Those
+// of unreachable data centres come only when there are no others.
 func (t *Table) Candidates(now time.Time, id service.ID) []Candidate {
+	list := t.candidates(now, id, true)
+	if len(list) == 0 && len(t.unreachable) > 0 {
+		list = t.candidates(now, id, false)
+	}
+	return list
+}
+
+func (t *Table) candidates(now time.Time, id service.ID, reachable bool) []Candidate {
 	var list []Candidate
 	for key := range t.services[id] {
+		if reachable && t.unreachable[key.DataCentre] {
+			continue
+		}
 		for _, r := range t.groups[key].members {
 			if t.Routable(now, r) {
 				list = append(list, Candidate{Member: r.Member, Weight: t.Weight(now, r)})
@@ -30,6 +43,19 @@
 	return list
 }
 
+// SetReachable notes whether this node can talk to a data centre.
+func (t *Table) SetReachable(dataCentre string, reachable bool) {
+	if reachable {
+		delete(t.unreachable, dataCentre)
+	} else {
+		t.unreachable[dataCentre] = true
+	}
+	for _, key := range t.agentGroups[dataCentre] {
+		t.changed[key.Service] = true
+	}
+	t.version++
+}
+
 // TakeChanged returns the services whose candidates may have changed since the
 // last call. With timed set it includes those that change with time alone:
 // services with a warming or a failed agent.
@@ -93,11 +119,19 @@
 	groups := t.agentGroups[key.DataCentre]
 	groups = slices.DeleteFunc(groups, func(k GroupKey) bool { return k == key })
 	t.agentGroups[key.DataCentre] = groups
+	if len(groups) == 0 {
+		delete(t.agentGroups, key.DataCentre)
+	}
 }
 
 // DataCentres returns the data centres that have balancers, sorted.
 func (t *Table) DataCentres() []string { return t.dataCentres }
 
+// AgentDataCentres returns the data centres that have agents, sorted.
+func (t *Table) AgentDataCentres() []string {
+	return slices.Sorted(maps.Keys(t.agentGroups))
+}
+
 // Agents calls visit for each remembered agent of a data centre, in a stable order.
 func (t *Table) Agents(dataCentre string, visit func(*Record)) {
 	for _, key := range t.agentGroups[dataCentre] {
