Control: lab slopes, urgent news first, probes before heartbeats

Cause: the first run of lab slopes at 400 nodes showed 304 false suspicions: agents that knew only a seed repeated every 100 ms and used up its reserve, so probes were held back and counted as failed; and one death in a data centre of three balancers reached the other centre only after 6.8 s. Change: probes have a class of their own before heartbeats and count only when sent; repeats slow down; owners come with the first answer; first-hand news goes to a balancer of each other data centre; integers are encoded compactly; loads change in steps; of a member whose state keeps changing only the first news in 5 s is urgent; urgent news that was not sent yet goes first.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -9,6 +9,7 @@
 // cli lists the sub-commands; each has a file of its own.
 type cli struct {
 	Version versionCmd `cmd:"" help:"Print the version of the tool."`
+	Slopes  slopesCmd  `cmd:"" help:"Measure how control grows with the number of nodes."`
 }
 
 func main() {
--- a/internal/control/agent.go
+++ b/internal/control/agent.go
@@ -19,6 +19,10 @@
 	shunTime = 5 * time.Second
 	// answerTime is how long an answer may take before the announcement is repeated.
 	answerTime = 200 * time.Millisecond
+	// repeatsPerPause is the number of repeats before their pause doubles.
+	repeatsPerPause = 4
+	// maxPauseDoublings bounds the growth of the pause between repeats.
+	maxPauseDoublings = 3
 )
 
 // agent is the part of a Node that announces a backend server.
@@ -41,6 +45,10 @@
 	addr    netip.AddrPort
 	added   time.Time
 	lastAck time.Time
+	// attempts counts the announcements since the last answer.
+	attempts int
+	// nextTry is the earliest time to repeat an unanswered announcement.
+	nextTry time.Time
 	// stated is the sequence number of the first announcement of the current state.
 	stated uint32
 	// acked is the highest acknowledged sequence number.
@@ -76,6 +84,9 @@
 	overdue := a.n.cfg.Timing.AnnouncePeriod + answerTime
 	var list []*target
 	for _, t := range a.targets {
+		if now.Before(t.nextTry) {
+			continue
+		}
 		if t.acked < t.stated || now.Sub(t.heard()) > overdue {
 			list = append(list, t)
 		}
@@ -104,6 +115,7 @@
 	first := a.n.sequence + 1
 	for _, t := range a.targets {
 		t.stated = first
+		t.attempts = 0
 	}
 	a.n.self.Sequence++
 	a.announce(now, a.targets)
@@ -119,10 +131,19 @@
 		if t.stated == 0 {
 			t.stated = sequence
 		}
+		m.First = t.lastAck.IsZero()
 		a.n.send(now, ClassHeartbeat, t.addr, m)
+		t.nextTry = now.Add(repeatPause(t.attempts))
+		t.attempts++
 	}
 }
 
+// repeatPause returns the pause before an unanswered announcement is repeated.
+// It grows, so that many agents do not swamp a balancer that cannot keep up.
+func repeatPause(attempts int) time.Duration {
+	return TickPeriod << min(attempts/repeatsPerPause, maxPauseDoublings)
+}
+
 // dropSilentTargets gives up balancers that have not answered in time.
 func (a *agent) dropSilentTargets(now time.Time) {
 	timeout := a.n.cfg.Timing.AckTimeout
@@ -191,7 +212,7 @@
 func (a *agent) handlePing(now time.Time, from netip.AddrPort, m *Ping) {
 	a.learnContest(now, m.Updates)
 	a.remember(from)
-	a.n.send(now, ClassHeartbeat, from, &PingAck{
+	a.n.send(now, ClassProbe, from, &PingAck{
 		Sequence: m.Sequence,
 		Self:     a.n.record(),
 		Revision: a.n.catalog.Revision(),
@@ -206,6 +227,7 @@
 	}
 	a.learnContest(now, m.Contested)
 	t.lastAck = now
+	t.attempts = 0
 	t.acked = max(t.acked, m.Sequence)
 	for _, addr := range m.Balancers {
 		a.remember(addr)
@@ -244,7 +266,7 @@
 }
 
 // followOwners announces to the balancers that own this agent by rendezvous, so
-// that owners need not ask. One change at a time keeps the others stable.
+// that owners need not ask. One replacement at a time keeps the others stable.
 func (a *agent) followOwners(now time.Time, owners []netip.AddrPort) {
 	for _, addr := range owners {
 		a.remember(addr)
@@ -253,7 +275,7 @@
 		}
 		if len(a.targets) < observers {
 			a.addTarget(now, addr)
-			return
+			continue
 		}
 		a.replaceTarget(now, addr, owners)
 		return
--- a/internal/control/balancer.go
+++ b/internal/control/balancer.go
@@ -40,7 +40,7 @@
 	b.repair = newRepair(now, b)
 	b.reach = newReach(b)
 	b.status = &status{b: b}
-	b.learn(now, n.self)
+	b.learnFirstHand(now, n.self)
 	return b
 }
 
@@ -55,14 +55,26 @@
 	b.gossip.tick(now)
 }
 
-// learn merges a statement into the table and spreads it if it is news.
+// learn merges a statement that came from another balancer.
 func (b *balancer) learn(now time.Time, m member.Member) bool {
+	return b.merge(now, m, false)
+}
+
+// learnFirstHand merges what a member said to this node, or what this node
+// found out itself.
+func (b *balancer) learnFirstHand(now time.Time, m member.Member) {
+	b.merge(now, m, true)
+}
+
+// merge merges a statement into the table, spreads it if it is news, and
+// reports whether it was.
+func (b *balancer) merge(now time.Time, m member.Member, firstHand bool) bool {
 	if m.Addr == b.n.self.Addr && m != b.n.self {
 		return b.learnSelf(now, m)
 	}
 	switch b.table.Merge(now, m) {
 	case presence.Changed:
-		b.changed(now, m)
+		b.changed(now, m, firstHand)
 		return true
 	case presence.LoadChanged:
 		b.gossip.addLoad(m)
@@ -78,8 +90,8 @@
 	return false
 }
 
-func (b *balancer) changed(now time.Time, m member.Member) {
-	b.gossip.add(m, b.spreadLimit())
+func (b *balancer) changed(now time.Time, m member.Member, firstHand bool) {
+	b.gossip.add(now, m, b.spreadLimit(), firstHand)
 	b.detector.changed(now, m)
 	if m.Kind == member.Balancer || b.judges(m.DataCentre) {
 		b.ownersDirty = true
@@ -132,7 +144,7 @@
 	if contested {
 		b.n.counters.ContestedAnnouncements++
 	} else {
-		b.learn(now, self)
+		b.learnFirstHand(now, self)
 		b.detector.announced(now, self, m.Revision)
 	}
 	b.acknowledge(now, from, m, contested)
@@ -162,8 +174,10 @@
 	if self.State == member.Draining || self.State == member.Leaving {
 		class = ClassUrgent
 	}
-	if contested || m.Sequence%fullAckEvery == 1 {
+	if contested || m.First || m.Sequence%fullAckEvery == 1 {
 		ack.Owners = b.owners(to, self.DataCentre)
+	}
+	if m.Sequence%fullAckEvery == 1 {
 		ack.Balancers = b.sampleBalancers(ackBalancers)
 		ack.Peers = b.samplePeers(now, self)
 	}
@@ -290,7 +304,7 @@
 	b.learnSender(now, self, m.Revision)
 	ack := &PingAck{Sequence: m.Sequence, Self: b.n.record(), Revision: b.n.catalog.Revision()}
 	ack.Updates = slices.Concat(contest, b.gossip.piggyback())
-	b.n.send(now, ClassHeartbeat, from, ack)
+	b.n.send(now, ClassProbe, from, ack)
 }
 
 // contest returns what overrides the sender's statement about itself, if anything.
@@ -426,7 +440,7 @@
 	if r := b.table.Get(to); r != nil && !isReachable(r) {
 		ping.Updates = memberList{r.Member}
 	}
-	b.n.send(now, ClassHeartbeat, to, ping)
+	b.n.send(now, ClassProbe, to, ping)
 }
 
 // updateOwners works out which agents this node must observe and whether it
--- a/internal/control/budget.go
+++ b/internal/control/budget.go
@@ -7,8 +7,13 @@
 
 // Classes of control traffic.
 const (
-	// ClassHeartbeat has a reserved share that no other class can use.
-	ClassHeartbeat Class = iota
+	// ClassProbe carries probes and their answers. It shares the reserve of
+	// heartbeats and goes before them, for a probe that is not sent or not
+	// answered makes a live member look dead.
+	ClassProbe Class = iota
+	// ClassHeartbeat carries announcements and their acknowledgements. It has a
+	// reserved share that no other class but probes can use.
+	ClassHeartbeat
 	// ClassUrgent carries drains, suspicions and deaths.
 	ClassUrgent
 	// ClassTicket carries news of change tickets.
@@ -23,7 +28,7 @@
 
 // String returns the class as metrics show it.
 func (c Class) String() string {
-	names := [...]string{"heartbeat", "urgent", "ticket", "member", "load"}
+	names := [...]string{"probe", "heartbeat", "urgent", "ticket", "member", "load"}
 	if int(c) >= len(names) {
 		return "invalid"
 	}
@@ -39,13 +44,16 @@
 	// burstShare of the ceiling is the burst; the rest is the rate. Together they
 	// bound what is sent in any second.
 	burstShare = 0.25
-	// heartbeatShare of burst and rate is reserved for heartbeats.
+	// heartbeatShare of burst and rate is reserved for probes and heartbeats.
 	heartbeatShare = 0.45
+	// probeReserve is the share of the reserved burst that heartbeats leave for probes.
+	probeReserve = 0.3
 )
 
 // floors are the shares of the common burst that a class must leave for the
 // classes before it. Urgent traffic may use all of it.
 var floors = [Classes]float64{
+	ClassProbe:     0.3,
 	ClassHeartbeat: 0.6,
 	ClassUrgent:    0,
 	ClassTicket:    0.2,
@@ -108,14 +116,24 @@
 	return min(MaxPayload, max(0, int(free)))
 }
 
+// takeReserved takes from the reserve of probes and heartbeats.
+func (b *budget) takeReserved(class Class, cost float64) bool {
+	switch class {
+	case ClassProbe:
+		return b.reserved.take(cost, 0)
+	case ClassHeartbeat:
+		return b.reserved.take(cost, probeReserve)
+	default:
+		return false
+	}
+}
+
 // allow reports whether a payload of size bytes may be sent now, and counts it.
 func (b *budget) allow(now time.Time, class Class, size int) bool {
 	cost := float64(size + DatagramOverhead)
 	b.reserved.refill(now)
 	b.common.refill(now)
-	ok := class == ClassHeartbeat && b.reserved.take(cost, 0)
-	ok = ok || b.common.take(cost, floors[class])
-	if !ok {
+	if !b.takeReserved(class, cost) && !b.common.take(cost, floors[class]) {
 		b.usage[class].Deferred++
 		return false
 	}
--- a/internal/control/codec.go
+++ b/internal/control/codec.go
@@ -30,6 +30,7 @@
 	buf.WriteByte(byte(m.messageType()))
 	e := msgpack.NewEncoder(&buf)
 	e.UseArrayEncodedStructs(true)
+	e.UseCompactInts(true)
 	if err := e.Encode(m); err != nil {
 		return nil, errkind.Wrap(err, errkind.Invalid, "cannot encode a control message", "report this as a defect")
 	}
--- a/internal/control/detector.go
+++ b/internal/control/detector.go
@@ -194,17 +194,21 @@
 
 // stepProbe sends the next attempt: a direct ping, and from the second attempt
 // on also requests to other balancers, whose path may work when ours does not.
+// An attempt that the budget holds back does not count.
 func (d *detector) stepProbe(now time.Time, p *probe) {
 	n := d.b.n
 	ping := &Ping{Sequence: p.sequence, Self: n.record(), Revision: n.catalog.Revision()}
 	if p.attempt == 0 {
 		ping.Updates = d.b.gossip.piggyback()
 	}
-	n.send(now, ClassHeartbeat, p.addr, ping)
+	if !n.send(now, ClassProbe, p.addr, ping) {
+		p.next = now.Add(TickPeriod)
+		return
+	}
 	if p.attempt > 0 {
 		for range indirectProbes {
 			if r := d.b.randomBalancer(n.self.DataCentre); r != nil && r.Addr != p.addr {
-				n.send(now, ClassHeartbeat, r.Addr, &PingRequest{Sequence: p.sequence, Target: addr(p.addr), Revision: n.catalog.Revision()})
+				n.send(now, ClassProbe, r.Addr, &PingRequest{Sequence: p.sequence, Target: addr(p.addr), Revision: n.catalog.Revision()})
 			}
 		}
 	}
@@ -256,7 +260,7 @@
 	default:
 		return
 	}
-	d.b.learn(now, m)
+	d.b.learnFirstHand(now, m)
 }
 
 // doubtsItself reports whether this node hears nobody at all though it expects
@@ -294,7 +298,7 @@
 	sequence := d.b.n.nextSequence()
 	d.relayed[sequence] = relayedProbe{origin, m.Sequence, now.Add(relayLifetime)}
 	ping := &Ping{Sequence: sequence, Self: d.b.n.record(), Revision: d.b.n.catalog.Revision()}
-	d.b.n.send(now, ClassHeartbeat, netip.AddrPort(m.Target), ping)
+	d.b.n.send(now, ClassProbe, netip.AddrPort(m.Target), ping)
 }
 
 // answered takes the answer to a probe, or passes it on to the one who asked for it.
@@ -304,7 +308,7 @@
 		passed := *ack
 		passed.Sequence = r.sequence
 		passed.Updates = nil
-		d.b.n.send(now, ClassHeartbeat, r.origin, &passed)
+		d.b.n.send(now, ClassProbe, r.origin, &passed)
 		return
 	}
 	d.probes = slices.DeleteFunc(d.probes, func(p *probe) bool {
@@ -318,7 +322,7 @@
 	if known := d.b.table.Get(m.Addr); known != nil && contests(known.Member, m) {
 		return
 	}
-	d.b.learn(now, m)
+	d.b.learnFirstHand(now, m)
 	o.lastHeard = now
 	if ack.Released {
 		d.release(o)
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -15,22 +15,26 @@
 	loadSize         = 30
 	// piggybackMembers is the number of changes that a probe carries.
 	piggybackMembers = 4
+	// maxRemoteMembers is the number of changes in one message to other data centres.
+	maxRemoteMembers = 8
 )
 
 // loadPeriod is the time between two messages that carry load reports only.
 const loadPeriod = time.Second
 
+// urgentPause is the time in which only the first news of a member is urgent.
+const urgentPause = 5 * time.Second
+
 // loadSends is the number of times that a node passes a load report on.
 const loadSends = 4
 
 // rumor is a change that is being passed on.
 type rumor struct {
-	m      member.Member
-	urgent bool
+	m member.Member
 	// left is the number of sends left.
 	left int
-	// queued tells whether the rumor is in a queue.
-	queued bool
+	// origin is the number of messages left that also go to each other data centre.
+	origin int
 }
 
 // loadRumor is a load report that is being passed on.
@@ -45,8 +49,12 @@
 type gossip struct {
 	b      *balancer
 	rumors map[netip.AddrPort]*rumor
-	urgent []*rumor
-	normal []*rumor
+	// fresh holds urgent news that was not sent yet, urgent the rest of it.
+	fresh, urgent []*rumor
+	normal        []*rumor
+	// lastUrgent holds when news of a member was last urgent.
+	lastUrgent map[netip.AddrPort]time.Time
+	nextForget time.Time
 
 	loadRumors map[netip.AddrPort]*loadRumor
 	loads      []*loadRumor
@@ -58,35 +66,55 @@
 }
 
 func newGossip(b *balancer) *gossip {
-	return &gossip{b: b, rumors: map[netip.AddrPort]*rumor{}, loadRumors: map[netip.AddrPort]*loadRumor{}}
+	return &gossip{
+		b:          b,
+		rumors:     map[netip.AddrPort]*rumor{},
+		lastUrgent: map[netip.AddrPort]time.Time{},
+		loadRumors: map[netip.AddrPort]*loadRumor{},
+	}
 }
 
-// isUrgent reports whether news of a state must go before all other news.
-func isUrgent(s member.State) bool {
-	return s >= member.Suspect
+// isUrgent reports whether news of a member must go before all other news: it
+// gets no new flows any more. Only the first such news in a while is urgent, so
+// that members whose state keeps changing cannot hold up the news of others.
+func (g *gossip) isUrgent(now time.Time, m member.Member) bool {
+	if m.State.TakesNewFlows() {
+		return false
+	}
+	last, known := g.lastUrgent[m.Addr]
+	if known && now.Sub(last) < urgentPause {
+		return false
+	}
+	g.lastUrgent[m.Addr] = now
+	return true
 }
 
-// add queues a change; it replaces older news of the same member.
-func (g *gossip) add(m member.Member, sends int) {
-	r := g.rumors[m.Addr]
-	if r == nil {
-		r = &rumor{}
-		g.rumors[m.Addr] = r
+// forgetUrgent drops the entries of lastUrgent that no longer matter.
+func (g *gossip) forgetUrgent(now time.Time) {
+	if now.Before(g.nextForget) {
+		return
 	}
-	urgent := isUrgent(m.State)
-	if r.queued && r.urgent != urgent {
-		// The old queue drops its copy when it comes to it.
-		r.left = 0
-		r = &rumor{}
-		g.rumors[m.Addr] = r
+	g.nextForget = now.Add(urgentPause)
+	for addr, last := range g.lastUrgent {
+		if now.Sub(last) >= urgentPause {
+			delete(g.lastUrgent, addr)
+		}
 	}
-	r.m, r.urgent, r.left = m, urgent, sends
-	if r.queued {
-		return
+}
+
+// add queues a change; it replaces older news of the same member. A change that
+// this node learned at first hand also goes to each other data centre.
+func (g *gossip) add(now time.Time, m member.Member, sends int, firstHand bool) {
+	if old := g.rumors[m.Addr]; old != nil {
+		old.left = 0 // its queue drops it when it comes to it
 	}
-	r.queued = true
-	if urgent {
-		g.urgent = append(g.urgent, r)
+	r := &rumor{m: m, left: sends}
+	if firstHand {
+		r.origin = originSends
+	}
+	g.rumors[m.Addr] = r
+	if g.isUrgent(now, m) {
+		g.fresh = append(g.fresh, r)
 	} else {
 		g.normal = append(g.normal, r)
 	}
@@ -116,8 +144,9 @@
 }
 
 func (g *gossip) tick(now time.Time) {
+	g.forgetUrgent(now)
 	switch {
-	case len(g.urgent) > 0:
+	case len(g.fresh)+len(g.urgent) > 0:
 		g.send(now, ClassUrgent)
 	case g.revisionLeft > 0:
 		g.send(now, ClassTicket)
@@ -136,6 +165,7 @@
 		g.drop()
 		return
 	}
+	g.sendRemote(now, class)
 	room := 0
 	for len(to) > 0 {
 		room = g.b.n.budget.available(now, class, len(to)) - gossipHeaderSize
@@ -149,10 +179,11 @@
 	}
 	m := &Gossip{Self: g.b.n.record(), Revision: g.b.n.catalog.Revision()}
 	if class == ClassUrgent {
-		m.Updates = g.fill(&g.urgent, m.Updates, &room, len(to))
+		m.Updates = g.fill(&g.fresh, &g.urgent, m.Updates, &room, len(to))
+		m.Updates = g.fill(&g.urgent, &g.urgent, m.Updates, &room, len(to))
 	}
 	if class <= ClassMember {
-		m.Updates = g.fill(&g.normal, m.Updates, &room, len(to))
+		m.Updates = g.fill(&g.normal, &g.normal, m.Updates, &room, len(to))
 		g.nextNormal = now.Add(g.b.n.cfg.Timing.GossipPeriod)
 	}
 	m.Loads = g.fillLoads(&room, len(to))
@@ -168,12 +199,45 @@
 	g.revisionLeft = max(0, g.revisionLeft-len(to))
 }
 
+// sendRemote tells one balancer of each other data centre what this node learned
+// at first hand.
+func (g *gossip) sendRemote(now time.Time, class Class) {
+	var origin []*rumor
+	for _, queue := range [][]*rumor{g.fresh, g.urgent, g.normal} {
+		for _, r := range queue {
+			if r.left > 0 && r.origin > 0 && len(origin) < maxRemoteMembers {
+				origin = append(origin, r)
+			}
+		}
+	}
+	if len(origin) == 0 {
+		return
+	}
+	m := &Gossip{Self: g.b.n.record(), Revision: g.b.n.catalog.Revision()}
+	for _, r := range origin {
+		m.Updates = append(m.Updates, r.m)
+	}
+	sent := true
+	for _, dataCentre := range g.b.table.DataCentres() {
+		if dataCentre == g.b.n.self.DataCentre {
+			continue
+		}
+		if r := g.b.randomBalancer(dataCentre); r != nil {
+			sent = g.b.n.send(now, class, r.Addr, m) && sent
+		}
+	}
+	if !sent {
+		return // the budget held something back; the next message tries again
+	}
+	for _, r := range origin {
+		r.origin--
+	}
+}
+
 // drop forgets all news: there is nobody to tell, and a later peer pulls the whole table.
 func (g *gossip) drop() {
-	for _, r := range append(g.urgent, g.normal...) {
-		delete(g.rumors, r.m.Addr)
-	}
-	g.urgent, g.normal = nil, nil
+	clear(g.rumors)
+	g.fresh, g.urgent, g.normal = nil, nil, nil
 	clear(g.loadRumors)
 	g.loads = nil
 	g.revisionLeft = 0
@@ -198,8 +262,8 @@
 }
 
 // fill takes rumors from the front of a queue into updates while there is room.
-// A rumor with sends left goes to the back of the queue.
-func (g *gossip) fill(queue *[]*rumor, updates memberList, room *int, sends int) memberList {
+// A rumor with sends left goes to the back of the queue rest.
+func (g *gossip) fill(queue, rest *[]*rumor, updates memberList, room *int, sends int) memberList {
 	for range len(*queue) {
 		r := (*queue)[0]
 		size := memberBaseSize + len(r.m.DataCentre)
@@ -213,10 +277,9 @@
 			r.left -= sends
 		}
 		if r.left > 0 {
-			*queue = append(*queue, r)
+			*rest = append(*rest, r)
 			continue
 		}
-		r.queued = false
 		if g.rumors[r.m.Addr] == r {
 			delete(g.rumors, r.m.Addr)
 		}
@@ -248,7 +311,8 @@
 // piggyback returns a few urgent changes for a probe. They count as one send each.
 func (g *gossip) piggyback() memberList {
 	room := piggybackMembers * (memberBaseSize + maxDataCentreBytes)
-	return g.fill(&g.urgent, nil, &room, 1)
+	updates := g.fill(&g.fresh, &g.urgent, nil, &room, 1)
+	return g.fill(&g.urgent, &g.urgent, updates, &room, 1)
 }
 
 // forget stops passing on the news of one member.
--- a/internal/control/memnet/memnet.go
+++ b/internal/control/memnet/memnet.go
@@ -36,6 +36,8 @@
 	Delay time.Duration
 	// Cut, if set, reports whether nothing passes from one node to another.
 	Cut func(from, to *Host) bool
+	// Meter, if set, returns the real time; what nodes use of it is added to Host.Busy.
+	Meter func() time.Time
 	// OnNotice, if set, is called for each notice.
 	OnNotice func(*Host, control.Notice)
 	// Hosts are the nodes in the order in which they were added.
@@ -60,6 +62,8 @@
 	StreamBytes uint64
 	// Received counts datagram bytes with overhead.
 	Received uint64
+	// Busy is the real time spent in the node's code.
+	Busy time.Duration
 	// generation tells the events of a restarted host from those of its predecessor.
 	generation int
 	waiting    []func()
@@ -153,7 +157,7 @@
 			return
 		}
 		if !h.Down && !h.Frozen {
-			n.Perform(h, h.Node.Tick(n.Now))
+			n.Perform(h, n.metered(h, func() []control.Output { return h.Node.Tick(n.Now) }))
 		}
 		n.tick(h, generation, control.TickPeriod)
 	})
@@ -165,15 +169,28 @@
 		return
 	}
 	n.deliver(to, n.delay(), func() {
-		m, err := control.Decode(d.Payload)
-		if err != nil {
-			panic(err)
-		}
 		to.Received += uint64(len(d.Payload) + control.DatagramOverhead)
-		n.Perform(to, to.Node.Handle(n.Now, from.Addr, m))
+		n.Perform(to, n.metered(to, func() []control.Output {
+			m, err := control.Decode(d.Payload)
+			if err != nil {
+				panic(err)
+			}
+			return to.Node.Handle(n.Now, from.Addr, m)
+		}))
 	})
 }
 
+// metered runs a decision of a node and counts the real time that it takes.
+func (n *Net) metered(h *Host, decide func() []control.Output) []control.Output {
+	if n.Meter == nil {
+		return decide()
+	}
+	begin := n.Meter()
+	outputs := decide()
+	h.Busy += n.Meter().Sub(begin)
+	return outputs
+}
+
 // deliver runs an arrival at a host, at once when it runs or once it runs again.
 func (n *Net) deliver(to *Host, after time.Duration, arrive func()) {
 	generation := to.generation
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -45,6 +45,8 @@
 	Self     MemberRecord
 	// Revision is the catalog revision in force at the agent.
 	Revision int64
+	// First asks for the owners: the balancer has not answered yet.
+	First bool
 }
 
 // AnnounceAck answers an Announce.
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -127,9 +128,16 @@
 	return n.take()
 }
 
-// SetLoad sets the load that the next announcement carries.
+// loadStep is the change of load below which no news is made of it.
+const loadStep = 16
+
+// SetLoad sets the load that the next announcement carries. Small changes are
+// left out, except at the ends of the range.
 func (n *Node) SetLoad(load uint8) {
-	n.self.Load = load
+	step := max(load, n.self.Load) - min(load, n.self.Load)
+	if step >= loadStep || load == 0 || load == math.MaxUint8 {
+		n.self.Load = load
+	}
 }
 
 // raiseIncarnation chooses an incarnation above contested and announces it.
@@ -148,7 +156,7 @@
 		n.agent.announceNow(now)
 		return
 	}
-	n.balancer.learn(now, n.self)
+	n.balancer.learnFirstHand(now, n.self)
 }
 
 // Self returns what the node announces of itself.
--- /dev/null
+++ b/internal/lab/slopes/report.go
@@ -0,0 +1,107 @@
+package slopes
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"text/tabwriter"
+)
+
+// Fit is a straight line through the points of one measure.
+type Fit struct {
+	Measure string `json:"measure"`
+	// X names the variable: "nodes" or "log2(nodes)".
+	X         string  `json:"x"`
+	Intercept float64 `json:"intercept"`
+	Slope     float64 `json:"slope"`
+}
+
+// Fits returns the slopes of cost over nodes and of time over their logarithm.
+func Fits(points []Point) []Fit {
+	linear := []struct {
+		name string
+		get  func(Point) float64
+	}{
+		{"balancer sent, bytes/s", func(p Point) float64 { return p.Balancer.TotalSent }},
+		{"balancer received, bytes/s", func(p Point) float64 { return p.Balancer.Received }},
+		{"balancer CPU, percent of a core", func(p Point) float64 { return p.Balancer.CPU }},
+		{"agent sent, bytes/s", func(p Point) float64 { return p.Agent.TotalSent }},
+		{"agent CPU, percent of a core", func(p Point) float64 { return p.Agent.CPU }},
+		{"heap, bytes/node", func(p Point) float64 { return p.BytesOfHeap }},
+		{"store watchers", func(p Point) float64 { return float64(p.Watchers) }},
+	}
+	var fits []Fit
+	for _, m := range linear {
+		fits = append(fits, fit(m.name, "nodes", points, func(p Point) float64 { return float64(p.Nodes) }, m.get))
+	}
+	logNodes := func(p Point) float64 { return math.Log2(float64(p.Nodes)) }
+	fits = append(fits,
+		fit("ticket in force everywhere, s", "log2(nodes)", points, logNodes, func(p Point) float64 { return p.Ticket.Max }),
+		fit("drain known everywhere, s", "log2(nodes)", points, logNodes, func(p Point) float64 { return p.Drain.Max }),
+		fit("death known everywhere, s", "log2(nodes)", points, logNodes, func(p Point) float64 { return p.Death.Max }),
+	)
+	return fits
+}
+
+// fit returns the line of least squares.
+func fit(measure, xName string, points []Point, x, y func(Point) float64) Fit {
+	n := float64(len(points))
+	var sx, sy, sxx, sxy float64
+	for _, p := range points {
+		sx += x(p)
+		sy += y(p)
+		sxx += x(p) * x(p)
+		sxy += x(p) * y(p)
+	}
+	f := Fit{Measure: measure, X: xName}
+	if d := n*sxx - sx*sx; d != 0 {
+		f.Slope = (n*sxy - sx*sy) / d
+	}
+	if n > 0 {
+		f.Intercept = (sy - f.Slope*sx) / n
+	}
+	return f
+}
+
+// WriteTable prints the points and fits for people.
+func WriteTable(w io.Writer, points []Point, fits []Fit) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "nodes\tbalancers\tb.sent B/s\tb.most\tb.recv\tb.stream\tb.cpu %\ta.sent B/s\ta.cpu %\tticket s (max)\tdrain s (max)\tdeath s (max)\twatchers\theap B/node\tfalse susp.\tlate\t")
+	for _, p := range points {
+		fmt.Fprintf(t, "%d\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.3f\t%.0f\t%.4f\t%s\t%s\t%s\t%d\t%.0f\t%d\t%d\t\n",
+			p.Nodes, p.Balancers, p.Balancer.TotalSent, p.Balancer.MostSent, p.Balancer.Received, p.Balancer.StreamSent,
+			p.Balancer.CPU, p.Agent.TotalSent, p.Agent.CPU, p.Ticket, p.Drain, p.Death, p.Watchers,
+			p.BytesOfHeap, p.FalseSuspicions, p.Ticket.Late+p.Drain.Late+p.Death.Late)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	t = tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "\nbalancer bytes/s by class:")
+	for _, p := range points {
+		fmt.Fprintf(t, "%d nodes", p.Nodes)
+		for _, class := range []string{"probe", "heartbeat", "urgent", "ticket", "member", "load"} {
+			fmt.Fprintf(t, "\t%s %.0f", class, p.Balancer.SentBytes[class])
+		}
+		fmt.Fprintln(t)
+	}
+	fmt.Fprintln(t, "\nslopes:")
+	for _, f := range fits {
+		fmt.Fprintf(t, "%s\t= %.4g + %.4g * %s\n", f.Measure, f.Intercept, f.Slope, f.X)
+	}
+	return t.Flush()
+}
+
+// String returns median and maximum in seconds.
+func (s Spread) String() string { return fmt.Sprintf("%.1f (%.1f)", s.Median, s.Max) }
+
+// WriteJSON prints the points and fits for programs.
+func WriteJSON(w io.Writer, points []Point, fits []Fit) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(struct {
+		Points []Point `json:"points"`
+		Fits   []Fit   `json:"fits"`
+	}{points, fits})
+}
