--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -14,6 +14,7 @@
 	Ticket   ticketCmd   `cmd:"" help:"Submit a change ticket straight to the store."`
 	Get      getCmd      `cmd:"" help:"Fetch a URL over HTTP/3."`
 	Forward  forwardCmd  `cmd:"" help:"Compare forwarding with a bare UDP relay."`
+	Slopes   slopesCmd   `cmd:"" help:"Measure how control grows with the number of nodes."`
 }
 
 func main() {
--- a/internal/control/detector.go
+++ b/internal/control/detector.go
@@ -14,8 +14,6 @@
 	// doubtTime is the silence of everybody after which a node doubts itself
 	// rather than the others.
 	doubtTime = time.Second
-	// doubtLimit is how long a node doubts itself.
-	doubtLimit = 10 * time.Second
 	// relayLifetime is how long the answer to a relayed probe is waited for.
 	relayLifetime = time.Second
 )
@@ -117,7 +115,7 @@
 
 // changed follows a new state of a member.
 func (d *detector) changed(now time.Time, m member.Member) {
-	if m.State == member.Suspect && m.DataCentre == d.b.n.self.DataCentre {
+	if m.State == member.Suspect && d.b.judges(m.DataCentre) {
 		deadline := now.Add(d.b.n.cfg.Timing.SuspectTimeout)
 		d.suspicions = append(d.suspicions, suspicion{m.Addr, m.Incarnation, deadline})
 	}
@@ -196,17 +194,21 @@
 
 // stepProbe sends the next attempt: a direct ping, and from the second attempt
 // on also requests to other balancers, whose path may work when ours does not.
+// An attempt that the budget holds back does not count.
 func (d *detector) stepProbe(now time.Time, p *probe) {
 	n := d.b.n
 	ping := &Ping{Sequence: p.sequence, Self: n.record(), Revision: n.catalog.Revision()}
 	if p.attempt == 0 {
 		ping.Updates = d.b.gossip.piggyback()
 	}
-	n.send(now, ClassHeartbeat, p.addr, ping)
+	if !n.send(now, ClassProbe, p.addr, ping) {
+		p.next = now.Add(TickPeriod)
+		return
+	}
 	if p.attempt > 0 {
 		for range indirectProbes {
 			if r := d.b.randomBalancer(n.self.DataCentre); r != nil && r.Addr != p.addr {
-				n.send(now, ClassHeartbeat, r.Addr, &PingRequest{Sequence: p.sequence, Target: addr(p.addr), Revision: n.catalog.Revision()})
+				n.send(now, ClassProbe, r.Addr, &PingRequest{Sequence: p.sequence, Target: addr(p.addr), Revision: n.catalog.Revision()})
 			}
 		}
 	}
@@ -240,7 +242,11 @@
 		o.probing = false
 	}
 	r := d.b.table.Get(a)
-	if r == nil || d.doubtsItself(now) {
+	if r == nil {
+		return
+	}
+	if d.doubtsItself(now) {
+		d.b.contactFar(now)
 		return
 	}
 	m := r.Member
@@ -254,15 +260,15 @@
 	default:
 		return
 	}
-	d.b.learn(now, m)
+	d.b.learnFirstHand(now, m)
 }
 
 // doubtsItself reports whether this node hears nobody at all though it expects
-// to hear several: then its own link is the likelier fault.
+// to hear several: then its own link is the likelier fault. An answer from
+// another data centre or a seed ends the doubt.
 func (d *detector) doubtsItself(now time.Time) bool {
 	expected := len(d.order) + len(d.b.table.Balancers(d.b.n.self.DataCentre)) - 1
-	silence := now.Sub(d.lastInbound)
-	return expected > 1 && silence >= doubtTime && silence < doubtLimit
+	return expected > 1 && now.Sub(d.lastInbound) >= doubtTime
 }
 
 // checkSuspicions declares members dead that have not answered a suspicion.
@@ -292,7 +298,7 @@
 	sequence := d.b.n.nextSequence()
 	d.relayed[sequence] = relayedProbe{origin, m.Sequence, now.Add(relayLifetime)}
 	ping := &Ping{Sequence: sequence, Self: d.b.n.record(), Revision: d.b.n.catalog.Revision()}
-	d.b.n.send(now, ClassHeartbeat, netip.AddrPort(m.Target), ping)
+	d.b.n.send(now, ClassProbe, netip.AddrPort(m.Target), ping)
 }
 
 // answered takes the answer to a probe, or passes it on to the one who asked for it.
@@ -302,7 +308,7 @@
 		passed := *ack
 		passed.Sequence = r.sequence
 		passed.Updates = nil
-		d.b.n.send(now, ClassHeartbeat, r.origin, &passed)
+		d.b.n.send(now, ClassProbe, r.origin, &passed)
 		return
 	}
 	d.probes = slices.DeleteFunc(d.probes, func(p *probe) bool {
@@ -316,7 +322,7 @@
 	if known := d.b.table.Get(m.Addr); known != nil && contests(known.Member, m) {
 		return
 	}
-	d.b.learn(now, m)
+	d.b.learnFirstHand(now, m)
 	o.lastHeard = now
 	if ack.Released {
 		d.release(o)
@@ -327,7 +333,7 @@
 // unless this node is one of its owners.
 func (d *detector) release(o *observation) {
 	o.announced = false
-	owners := d.b.owners(o.addr, d.b.n.self.DataCentre)
+	owners := d.b.owners(o.addr, d.b.table.Get(o.addr).DataCentre)
 	if slices.Contains(owners, d.b.n.self.Addr) {
 		return
 	}
