Administration API: server, client and shared messages

Change: internal/adminapi serves state, services, tickets, history, presence and drains with bearer token or operator certificate, bounded bodies and Problem Details; the client repeats reads only and moves a change to the next endpoint only when no connection was made. logging.Standard carries errors of net/http. Proved: removing the empty-token rule, the scheme check, the guards, the refusal of redirects, the single sending of changes, the bases and the kept drains of a drain ticket each fails a test. go test -race: ok.

--- /dev/null
+++ b/internal/adminapi/adminapi_test.go
@@ -0,0 +1,434 @@
+package adminapi
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/member"
+	"github.com/almondledge/almondledge/internal/pki"
+	"github.com/almondledge/almondledge/internal/service"
+	"github.com/almondledge/almondledge/internal/telemetry"
+	"github.com/almondledge/almondledge/internal/ticket"
+)
+
+const token = "a-token-of-the-tests"
+
+var logger = &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
+
+var agentAddress = netip.MustParseAddrPort("127.0.2.1:7000")
+
+// fleet is a fake of everything behind the API.
+type fleet struct {
+	services  []Service
+	spread    Spread
+	submitted []ticket.Ticket
+	// fail are the errors of the next submissions.
+	fail []error
+	// raced, while lost is above zero, is the state that wins against submissions.
+	raced   Service
+	lost    int
+	drained []string
+	notYet  error
+}
+
+func (f *fleet) Services() (int64, []Service) { return 40, f.services }
+
+func (f *fleet) Spread(_ context.Context, revision int64) (Spread, error) {
+	f.spread.Revision = revision
+	return f.spread, nil
+}
+
+func (f *fleet) Members() []member.Member {
+	return []member.Member{{Addr: agentAddress, Kind: member.Agent, State: member.Serving, Load: 255}}
+}
+
+func (f *fleet) Submit(_ context.Context, t ticket.Ticket) (ticket.Outcome, error) {
+	f.submitted = append(f.submitted, t)
+	if f.lost > 0 {
+		f.lost--
+		spec := f.raced.Spec
+		current := ticket.Current{Services: []ticket.ServiceState{{ID: spec.ID, Name: spec.Name, Spec: &spec, Revision: f.raced.Revision}}}
+		t.Bases = []ticket.Base{{Service: spec.Name}} // an older base than the current state
+		_, err := ticket.Plan(current, t, time.Now())
+		return ticket.Outcome{}, err
+	}
+	if len(f.fail) > 0 {
+		err := f.fail[0]
+		f.fail = f.fail[1:]
+		return ticket.Outcome{}, err
+	}
+	return ticket.Outcome{ID: t.ID, Number: 7, Revision: 41}, nil
+}
+
+func (f *fleet) DryRun(context.Context, ticket.Ticket) (ticket.Preview, error) {
+	return ticket.Preview{Differences: []ticket.Difference{{Service: "counter", Field: "limits.slots"}}}, nil
+}
+
+func (f *fleet) Show(_ context.Context, id string) (ticket.Record, error) {
+	if id != "tide-7" && id != "2026" {
+		return ticket.Record{}, errkind.New(errkind.NotFound, "no ticket "+id, "look at the history")
+	}
+	return f.ShowNumber(context.Background(), 7)
+}
+
+func (f *fleet) ShowNumber(_ context.Context, number int64) (ticket.Record, error) {
+	if number != 7 {
+		return ticket.Record{}, errkind.New(errkind.NotFound, "no such ticket", "look at the history")
+	}
+	return ticket.Record{Number: 7, ID: "tide-7", Revision: 41}, nil
+}
+
+func (f *fleet) List(_ context.Context, number int64, count int) ([]ticket.Record, error) {
+	return []ticket.Record{{Number: number, Digest: fmt.Sprint(count)}}, nil
+}
+
+func (f *fleet) Drain(submitter string) error {
+	f.drained = append(f.drained, submitter)
+	return nil
+}
+
+func (f *fleet) options(role member.Kind) Options {
+	ready := func() error { return f.notYet }
+	options := Options{
+		Instance: Instance{Address: agentAddress, Role: role.String()}, Token: token, Ready: ready,
+		Configuration: f, Members: f, Telemetry: telemetry.New(ready), Logger: logger,
+	}
+	if role == member.Balancer {
+		options.Tickets = f
+	} else {
+		options.Drainer = f
+	}
+	return options
+}
+
+func (f *fleet) client(t *testing.T, role member.Kind) *Client {
+	t.Helper()
+	server := httptest.NewServer(NewHandler(f.options(role)))
+	t.Cleanup(server.Close)
+	return newClient(t, server.URL)
+}
+
+func newClient(t *testing.T, endpoints ...string) *Client {
+	t.Helper()
+	client := NewClient(ClientOptions{Endpoints: endpoints, Token: token, Timeout: time.Minute})
+	t.Cleanup(client.Close)
+	return client
+}
+
+func counter(draining ...netip.AddrPort) Service {
+	return Service{Revision: 30, Spec: service.Spec{Name: "counter", ID: 3, Draining: draining, Limits: service.Limits{Slots: 5}}}
+}
+
+func TestClientAndServerAgree(t *testing.T) {
+	is := is.New(t)
+	f := &fleet{services: []Service{counter()}, spread: Spread{DataCentres: []DataCentreSpread{{Name: "cesme", Complete: true, Balancers: 3}}}}
+	client := f.client(t, member.Balancer)
+	ctx := t.Context()
+
+	services, err := client.Services(ctx, 0)
+	is.NoErr(err)
+	is.Equal(services, ServiceList{Revision: 40, Services: f.services})
+	services, err = client.Services(ctx, 3)
+	is.NoErr(err)
+	is.Equal(len(services.Services), 0)
+
+	state, err := client.State(ctx, false)
+	is.NoErr(err)
+	is.Equal(state, State{Instance: Instance{Address: agentAddress, Role: "balancer"}, Ready: true, Revision: 40, Services: 1})
+	f.notYet = errors.New("no configuration")
+	state, err = client.State(ctx, true)
+	is.NoErr(err)
+	is.Equal(state.Reason, "no configuration")
+	is.Equal(state.Spread.Revision, int64(40))
+
+	presence, err := client.Presence(ctx)
+	is.NoErr(err)
+	is.Equal(presence.Members[0].State, "serving")
+	is.Equal(presence.Members[0].LoadPercent, 100)
+
+	result, err := client.Submit(ctx, TicketRequest{Ticket: ticket.Ticket{ID: "tide-7", Submitter: "ayse"}})
+	is.NoErr(err)
+	is.Equal(*result.Outcome, ticket.Outcome{ID: "tide-7", Number: 7, Revision: 41})
+	result, err = client.Submit(ctx, TicketRequest{DryRun: true})
+	is.NoErr(err)
+	is.Equal(result.Preview.Differences[0].Field, "limits.slots")
+	is.Equal(len(f.submitted), 1) // a dry run submits nothing
+
+	for _, reference := range []string{"7", "tide-7", "2026"} {
+		record, err := client.Ticket(ctx, reference)
+		is.NoErr(err)
+		is.Equal(record.ID, "tide-7")
+		status, err := client.TicketStatus(ctx, reference)
+		is.NoErr(err)
+		is.True(status.InForce)
+		is.Equal(status.Spread.Revision, int64(41))
+	}
+	history, err := client.History(ctx, 12, 5)
+	is.NoErr(err)
+	is.Equal(history.Tickets, []ticket.Record{{Number: 12, Digest: "5"}})
+}
+
+func TestInForceNeedsEveryProcess(t *testing.T) {
+	whole := DataCentreSpread{Complete: true, Balancers: 1}
+	cases := []struct {
+		name string
+		part []DataCentreSpread
+		want bool
+	}{
+		{"everywhere", []DataCentreSpread{whole, whole}, true},
+		{"nobody asked", nil, false},
+		{"no answer from one data centre", []DataCentreSpread{whole, {}}, false},
+		{"one lags", []DataCentreSpread{whole, {Complete: true, Lagging: 1}}, false},
+		{"one is silent", []DataCentreSpread{whole, {Complete: true, Silent: 1}}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(Spread{DataCentres: c.part}.InForce(), c.want)
+		})
+	}
+}
+
+func TestRefusedRequests(t *testing.T) {
+	const bearer = "Bearer " + token
+	cases := []struct {
+		name                              string
+		role                              member.Kind
+		method, path, auth, content, body string
+		want                              errkind.Kind
+		status                            int
+	}{
+		{"no token", member.Balancer, "GET", PathState, "", "", "", errkind.Unauthenticated, 401},
+		{"wrong token", member.Balancer, "GET", PathState, "Bearer " + token + "x", "", "", errkind.Unauthenticated, 401},
+		{"wrong scheme", member.Balancer, "GET", PathState, "Basic " + token, "", "", errkind.Unauthenticated, 401},
+		{"unknown path without token", member.Balancer, "GET", "/v1/other", "", "", "", errkind.Unauthenticated, 401},
+		{"profiles without token", member.Balancer, "GET", telemetry.ProfilePath, "", "", "", errkind.Unauthenticated, 401},
+		{"unknown path", member.Balancer, "GET", "/v1/other", bearer, "", "", errkind.NotFound, 404},
+		{"tickets on an agent", member.Agent, "POST", PathTickets, bearer, typeJSON, "{}", errkind.NotFound, 404},
+		{"unknown ticket", member.Balancer, "GET", PathTickets + "/8", bearer, "", "", errkind.NotFound, 404},
+		{"other content type", member.Balancer, "POST", PathTickets, bearer, "text/plain", "{}", errkind.Invalid, 400},
+		{"unknown field", member.Balancer, "POST", PathTickets, bearer, typeJSON, `{"tiket":{}}`, errkind.Invalid, 400},
+		{"two values", member.Balancer, "POST", PathTickets, bearer, typeJSON, `{}{}`, errkind.Invalid, 400},
+		{"long body", member.Balancer, "POST", PathTickets, bearer, typeJSON, strings.Repeat(" ", MaxBodyBytes+1), errkind.Invalid, 400},
+		{"bad count", member.Balancer, "GET", PathHistory + "?count=201", bearer, "", "", errkind.Invalid, 400},
+		{"bad number", member.Balancer, "GET", PathServices + "?after=-1", bearer, "", "", errkind.Invalid, 400},
+		{"drain of unknown service", member.Balancer, "POST", PathDrain, bearer, typeJSON, `{"service":"x","agent":"127.0.2.1:7000"}`, errkind.NotFound, 404},
+		{"drain of no agent", member.Balancer, "POST", PathDrain, bearer, typeJSON, `{"service":"counter"}`, errkind.Invalid, 400},
+		{"drain of another agent", member.Agent, "POST", PathDrain, bearer, typeJSON, `{"submitter":"ayse","agent":"127.0.2.2:7000"}`, errkind.Invalid, 400},
+		{"drain by nobody", member.Agent, "POST", PathDrain, bearer, typeJSON, `{}`, errkind.Invalid, 400},
+		{"undo on an agent", member.Agent, "POST", PathDrain, bearer, typeJSON, `{"submitter":"ayse","undo":true}`, errkind.Invalid, 400},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := &fleet{services: []Service{counter()}}
+			request := httptest.NewRequest(c.method, c.path, strings.NewReader(c.body))
+			request.Header.Set("Authorization", c.auth)
+			request.Header.Set("Content-Type", c.content)
+			recorder := httptest.NewRecorder()
+			NewHandler(f.options(c.role)).ServeHTTP(recorder, request)
+			is.Equal(recorder.Code, c.status)
+			err := answerProblem(recorder.Result(), recorder.Body.Bytes())
+			is.Equal(errkind.Of(err), c.want)
+			is.Equal(len(f.submitted)+len(f.drained), 0)
+		})
+	}
+}
+
+func TestEmptyTokenIsNeverAccepted(t *testing.T) {
+	is := is.New(t)
+	options := (&fleet{}).options(member.Balancer)
+	options.Token = ""
+	request := httptest.NewRequest(http.MethodGet, PathState, nil)
+	request.Header.Set("Authorization", "Bearer ")
+	recorder := httptest.NewRecorder()
+	NewHandler(options).ServeHTTP(recorder, request)
+	is.Equal(recorder.Code, http.StatusUnauthorized)
+}
+
+func TestDrainBecomesTicket(t *testing.T) {
+	other := netip.MustParseAddrPort("127.0.2.9:7000")
+	raced := Service{Revision: 50, Spec: counter(other).Spec}
+	raced.Limits.Slots = 9
+	cases := []struct {
+		name    string
+		service Service
+		undo    bool
+		lost    int // submissions that lose against raced
+		want    []netip.AddrPort
+		base    int64
+		kind    errkind.Kind
+	}{
+		{"drain", counter(), false, 0, []netip.AddrPort{agentAddress}, 30, ""},
+		{"drain beside another", counter(other), false, 0, []netip.AddrPort{other, agentAddress}, 30, ""},
+		{"drained already", counter(agentAddress), false, 0, nil, 0, ""},
+		{"undo", counter(other, agentAddress), true, 0, []netip.AddrPort{other}, 30, ""},
+		{"undo of nothing", counter(), true, 0, nil, 0, ""},
+		{"on top of the state that won", counter(), false, 1, []netip.AddrPort{other, agentAddress}, 50, ""},
+		{"always too late", counter(), false, drainAttempts, []netip.AddrPort{other, agentAddress}, 50, errkind.Conflict},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := &fleet{services: []Service{c.service}, raced: raced, lost: c.lost}
+			result, err := f.client(t, member.Balancer).Drain(t.Context(), DrainRequest{
+				ID: "drain-1", Submitter: "ayse", Service: "counter", Agent: agentAddress, Undo: c.undo,
+			})
+			is.Equal(errkind.Of(err), c.kind)
+			if c.want == nil {
+				is.True(result.Unchanged)
+				is.Equal(len(f.submitted), 0)
+				return
+			}
+			last := f.submitted[len(f.submitted)-1]
+			is.Equal(last.ID, "drain-1")
+			is.Equal(last.Services[0].Draining, c.want)
+			is.Equal(last.Bases, []ticket.Base{{Service: "counter", Revision: c.base}})
+			is.Equal(last.Services[0].Limits.Slots == 9, c.lost > 0) // the rest of the state that won is kept
+		})
+	}
+}
+
+func TestAgentDrainsItself(t *testing.T) {
+	is := is.New(t)
+	f := &fleet{}
+	_, err := f.client(t, member.Agent).Drain(t.Context(), DrainRequest{Submitter: "ayse", Agent: agentAddress})
+	is.NoErr(err)
+	is.Equal(f.drained, []string{"ayse"})
+}
+
+func TestErrorsKeepKindRemedyAndState(t *testing.T) {
+	is := is.New(t)
+	f := &fleet{fail: []error{
+		fmt.Errorf("outer: %w", errkind.Wrap(io.EOF, errkind.Stale, "store is older", "call the platform")),
+		errors.New("no kind"),
+	}}
+	client := f.client(t, member.Balancer)
+	_, err := client.Submit(t.Context(), TicketRequest{})
+	is.True(errkind.Is(err, errkind.Stale))
+	is.Equal(err.Error(), "store is older: EOF (remedy: call the platform)")
+	_, err = client.Submit(t.Context(), TicketRequest{})
+	is.True(errkind.Is(err, errkind.Unknown)) // nothing may be concluded
+}
+
+// flaky is a server that fails the first requests in a given way.
+func flaky(t *testing.T, failures int, fail http.HandlerFunc) (url string, requests *atomic.Int32) {
+	t.Helper()
+	requests = new(atomic.Int32)
+	working := NewHandler((&fleet{}).options(member.Balancer))
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if int(requests.Add(1)) <= failures {
+			fail(w, r)
+			return
+		}
+		working.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	return server.URL, requests
+}
+
+func TestOnlyReadsAreRepeated(t *testing.T) {
+	cut := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	busy := func(w http.ResponseWriter, _ *http.Request) {
+		writeProblem(w, errkind.New(errkind.Overloaded, "busy", "wait"))
+	}
+	redirect := func(w http.ResponseWriter, r *http.Request) {
+		http.Redirect(w, r, "http://127.0.0.1:1/", http.StatusTemporaryRedirect)
+	}
+	cases := []struct {
+		name         string
+		fail         http.HandlerFunc
+		read, change errkind.Kind
+	}{
+		{"cut answer", cut, "", errkind.Unknown},
+		{"overloaded", busy, "", errkind.Overloaded},
+		{"redirect", redirect, errkind.Unknown, errkind.Unknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			address, _ := flaky(t, 1, c.fail)
+			_, err := newClient(t, address).State(t.Context(), false)
+			is.Equal(errkind.Of(err), c.read)
+
+			address, requests := flaky(t, 1, c.fail)
+			_, err = newClient(t, address, address).Submit(t.Context(), TicketRequest{})
+			is.Equal(errkind.Of(err), c.change)
+			is.Equal(requests.Load(), int32(1))
+		})
+	}
+}
+
+func TestChangeGoesOnOnlyWhenNotConnected(t *testing.T) {
+	is := is.New(t)
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	nobody := "http://" + closed.Addr().String()
+	is.NoErr(closed.Close())
+	address, requests := flaky(t, 0, nil)
+
+	_, err = newClient(t, nobody, address).Submit(t.Context(), TicketRequest{})
+	is.NoErr(err)
+	is.Equal(requests.Load(), int32(1))
+	_, err = newClient(t, nobody).Submit(t.Context(), TicketRequest{})
+	is.True(errkind.Is(err, errkind.Unavailable))
+}
+
+func TestServeWithCertificates(t *testing.T) {
+	is := is.New(t)
+	authority, err := pki.NewAuthority(time.Now(), time.Hour)
+	is.NoErr(err)
+	identity := func(role pki.Role) *pki.Identity {
+		pair, err := authority.Issue(role, time.Now(), time.Hour)
+		is.NoErr(err)
+		identity, err := pki.NewIdentity(authority.Pair().Certificate, pair, time.Now)
+		is.NoErr(err)
+		return identity
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.Equal(TLSConfig(listener.Addr(), identity(pki.RoleBalancer)), nil) // loopback needs none
+	config := TLSConfig(&net.TCPAddr{IP: net.IPv4(10, 0, 0, 1)}, identity(pki.RoleBalancer))
+
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() {
+		served <- Serve(ctx, listener, config, NewHandler((&fleet{}).options(member.Balancer)), logger)
+	}()
+	call := func(role pki.Role, bearer string) errkind.Kind {
+		client := NewClient(ClientOptions{
+			Endpoints: []string{"https://" + listener.Addr().String()}, Token: bearer, Timeout: time.Minute,
+			TLS: identity(role).ClientConfig(nil, pki.RoleBalancer),
+		})
+		defer client.Close()
+		_, err := client.Submit(t.Context(), TicketRequest{})
+		return errkind.Of(err)
+	}
+	is.Equal(call(pki.RoleOperator, ""), errkind.Kind(""))
+	is.Equal(call(pki.RoleAgent, token), errkind.Unknown) // refused in the handshake
+	cancel()
+	is.NoErr(<-served)
+}
+
+func TestBodyOfProblem(t *testing.T) {
+	is := is.New(t)
+	recorder := httptest.NewRecorder()
+	writeProblem(recorder, errkind.New(errkind.Conflict, "another ticket won", "look at the state"))
+	is.Equal(recorder.Header().Get("Content-Type"), "application/problem+json")
+	is.True(bytes.HasPrefix(recorder.Body.Bytes(), []byte(`{"type":"urn:almondledge:problem:conflict","title":"Conflict","status":409,"detail":"another ticket won","kind":"conflict","remedy":"look at the state"}`)))
+}
--- /dev/null
+++ b/internal/adminapi/handlers.go
@@ -0,0 +1,221 @@
+package adminapi
+
+import (
+	"fmt"
+	"net/http"
+	"sort"
+	"strconv"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/logging"
+	"github.com/almondledge/almondledge/internal/member"
+	"github.com/almondledge/almondledge/internal/service"
+	"github.com/almondledge/almondledge/internal/ticket"
+)
+
+// maxLoad is the load of a full backend server in a member's announcement.
+const maxLoad = 255
+
+func (a *api) state(w http.ResponseWriter, r *http.Request) {
+	revision, services := a.Configuration.Services()
+	answer := State{Instance: a.Instance, Ready: true, Revision: revision, Services: len(services)}
+	if err := a.Ready(); err != nil {
+		answer.Ready = false
+		answer.Reason = err.Error()
+	}
+	if a.Tickets != nil && r.URL.Query().Has("spread") {
+		answer.Spread, answer.SpreadProblem = a.spread(r, revision)
+	}
+	writeJSON(w, http.StatusOK, answer)
+}
+
+// spread asks who has a revision; a failure must not hide the rest of the state.
+func (a *api) spread(r *http.Request, revision int64) (*Spread, string) {
+	spread, err := a.Configuration.Spread(r.Context(), revision)
+	if err != nil {
+		return nil, err.Error()
+	}
+	return &spread, ""
+}
+
+func (a *api) services(w http.ResponseWriter, r *http.Request) {
+	after, err := queryNumber(r, "after", 0)
+	if err != nil {
+		writeProblem(w, err)
+		return
+	}
+	revision, services := a.Configuration.Services()
+	first := sort.Search(len(services), func(i int) bool { return int64(services[i].ID) > after })
+	rest := services[first:]
+	answer := ServiceList{Revision: revision, Services: rest}
+	if len(rest) > MaxServices {
+		answer.Services = rest[:MaxServices]
+		answer.Next = rest[MaxServices-1].ID
+	}
+	writeJSON(w, http.StatusOK, answer)
+}
+
+func (a *api) presence(w http.ResponseWriter, _ *http.Request) {
+	answer := Presence{Members: []Member{}}
+	for _, m := range a.Members.Members() {
+		answer.Members = append(answer.Members, describe(m))
+	}
+	writeJSON(w, http.StatusOK, answer)
+}
+
+func describe(m member.Member) Member {
+	return Member{
+		Address:     m.Addr,
+		Stream:      m.Stream,
+		Role:        m.Kind.String(),
+		State:       m.State.String(),
+		Incarnation: m.Incarnation,
+		DataCentre:  m.DataCentre,
+		Service:     m.Service,
+		Capacity:    m.Capacity,
+		LoadPercent: int(m.Load) * 100 / maxLoad,
+	}
+}
+
+func (a *api) submit(w http.ResponseWriter, r *http.Request) {
+	var request TicketRequest
+	if err := readBody(r, &request); err != nil {
+		writeProblem(w, err)
+		return
+	}
+	if request.DryRun {
+		preview, err := a.Tickets.DryRun(r.Context(), request.Ticket)
+		if err != nil {
+			writeProblem(w, err)
+			return
+		}
+		writeJSON(w, http.StatusOK, TicketResult{Preview: &preview})
+		return
+	}
+	outcome, err := a.submitAndLog(r, request.Ticket)
+	if err != nil {
+		writeProblem(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, TicketResult{Outcome: &outcome})
+}
+
+// submitAndLog submits a ticket and logs its outcome.
+func (a *api) submitAndLog(r *http.Request, t ticket.Ticket) (ticket.Outcome, error) {
+	logger := a.Logger.WithField("ticket_id", t.ID).WithField("submitter", t.Submitter).WithField("remote", r.RemoteAddr)
+	outcome, err := a.Tickets.Submit(r.Context(), t)
+	if err != nil {
+		logging.Failure(logger, err).Warn("ticket not accepted")
+		return outcome, err
+	}
+	logger.WithField(logging.FieldTicket, outcome.Number).WithField("repeated", outcome.Repeated).Info("ticket accepted")
+	return outcome, nil
+}
+
+func (a *api) show(w http.ResponseWriter, r *http.Request) {
+	record, err := a.record(r)
+	if err != nil {
+		writeProblem(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, record)
+}
+
+// record reads the ticket that the path names, by number or by ID. A text of
+// digits is a number, unless no ticket has it.
+func (a *api) record(r *http.Request) (ticket.Record, error) {
+	reference := r.PathValue("ticket")
+	number, err := strconv.ParseInt(reference, 10, 64)
+	if err != nil {
+		return a.Tickets.Show(r.Context(), reference)
+	}
+	record, err := a.Tickets.ShowNumber(r.Context(), number)
+	if !errkind.Is(err, errkind.NotFound) {
+		return record, err
+	}
+	if byID, idErr := a.Tickets.Show(r.Context(), reference); idErr == nil {
+		return byID, nil
+	}
+	return record, err
+}
+
+func (a *api) status(w http.ResponseWriter, r *http.Request) {
+	record, err := a.record(r)
+	if err != nil {
+		writeProblem(w, err)
+		return
+	}
+	spread, err := a.Configuration.Spread(r.Context(), record.Revision)
+	if err != nil {
+		writeProblem(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, TicketStatus{
+		Number: record.Number, ID: record.ID, Revision: record.Revision,
+		InForce: spread.InForce(), Spread: spread,
+	})
+}
+
+func (a *api) history(w http.ResponseWriter, r *http.Request) {
+	from, err := queryNumber(r, "from", 0)
+	if err != nil {
+		writeProblem(w, err)
+		return
+	}
+	count, err := queryNumber(r, "count", DefaultHistory)
+	if err != nil {
+		writeProblem(w, err)
+		return
+	}
+	if count < 1 || count > ticket.MaxHistory {
+		writeProblem(w, badQuery("count", count, fmt.Sprintf("use 1 to %d", ticket.MaxHistory)))
+		return
+	}
+	records, err := a.Tickets.List(r.Context(), from, int(count))
+	if err != nil {
+		writeProblem(w, err)
+		return
+	}
+	if records == nil {
+		records = []ticket.Record{}
+	}
+	writeJSON(w, http.StatusOK, History{Tickets: records})
+}
+
+// queryNumber returns a number of the query, or fallback when it is left out.
+func queryNumber(r *http.Request, name string, fallback int64) (int64, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return fallback, nil
+	}
+	number, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || number < 0 {
+		return 0, badQuery(name, text, "give a whole number from 0 on")
+	}
+	return number, nil
+}
+
+func badQuery(name string, value any, remedy string) error {
+	return errkind.New(errkind.Invalid, fmt.Sprintf("query parameter %s has the bad value %v", name, value), remedy)
+}
+
+// find returns the service of this name in force here.
+func (a *api) find(name string) (Service, bool) {
+	_, services := a.Configuration.Services()
+	for _, s := range services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Service{}, false
+}
+
+// current returns the state of a service among those of a conflict.
+func current(states []ticket.ServiceState, id service.ID) (Service, bool) {
+	for _, state := range states {
+		if state.ID == id && state.Spec != nil {
+			return Service{Spec: *state.Spec, Revision: state.Revision}, true
+		}
+	}
+	return Service{}, false
+}
--- /dev/null
+++ b/internal/adminapi/problem.go
@@ -0,0 +1,117 @@
+package adminapi
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/ticket"
+)
+
+// Media types of the API.
+const (
+	typeJSON    = "application/json"
+	typeProblem = "application/problem+json"
+)
+
+// problemURN starts the type of each problem.
+const problemURN = "urn:almondledge:problem:"
+
+// Problem is the body of every error answer (RFC 9457). It is also the error
+// that Client returns; errkind.Of gives its kind.
+type Problem struct {
+	// Type is "urn:almondledge:problem:" followed by the kind.
+	Type string `json:"type"`
+	// Title is the text of the HTTP status.
+	Title string `json:"title"`
+	// Status is the HTTP status.
+	Status int `json:"status"`
+	// Detail says what went wrong.
+	Detail string `json:"detail"`
+	// Kind is the kind of package errkind.
+	Kind errkind.Kind `json:"kind"`
+	// Remedy says what to do.
+	Remedy string `json:"remedy,omitempty"`
+	// Current are the states that won against a ticket, for kind "conflict".
+	Current []ticket.ServiceState `json:"current,omitempty"`
+}
+
+// Error returns detail and remedy in one line.
+func (p *Problem) Error() string {
+	return p.typed().Error()
+}
+
+// Unwrap returns the problem as a typed error.
+func (p *Problem) Unwrap() error {
+	return p.typed()
+}
+
+func (p *Problem) typed() *errkind.Error {
+	return errkind.New(p.Kind, p.Detail, p.Remedy)
+}
+
+// statusOf maps kinds to HTTP statuses. Only "unknown" leaves open whether a
+// change took effect.
+var statusOf = map[errkind.Kind]int{
+	errkind.Invalid:         http.StatusBadRequest,
+	errkind.Unauthenticated: http.StatusUnauthorized,
+	errkind.NotFound:        http.StatusNotFound,
+	errkind.Conflict:        http.StatusConflict,
+	errkind.Stale:           http.StatusConflict,
+	errkind.Overloaded:      http.StatusTooManyRequests,
+	errkind.NotApplied:      http.StatusServiceUnavailable,
+	errkind.Unavailable:     http.StatusServiceUnavailable,
+	errkind.Unknown:         http.StatusGatewayTimeout,
+	errkind.Expired:         http.StatusGatewayTimeout,
+}
+
+// problemOf describes err to a client. An error without a kind is a defect or an
+// unforeseen failure, about which nothing may be concluded.
+func problemOf(err error) *Problem {
+	problem := &Problem{Kind: errkind.Unknown, Detail: err.Error(), Status: http.StatusInternalServerError}
+	var typed *errkind.Error
+	if errors.As(err, &typed) {
+		problem.Kind = typed.Kind
+		problem.Remedy = typed.Remedy
+		problem.Detail = detailOf(typed)
+		if status, known := statusOf[typed.Kind]; known {
+			problem.Status = status
+		}
+	}
+	var conflict *ticket.ConflictError
+	if errors.As(err, &conflict) {
+		problem.Current = conflict.Current
+	}
+	problem.Type = problemURN + string(problem.Kind)
+	problem.Title = http.StatusText(problem.Status)
+	return problem
+}
+
+// detailOf returns the message of an error with its cause but without its remedy.
+func detailOf(err *errkind.Error) string {
+	if err.Cause == nil {
+		return err.Message
+	}
+	return err.Message + ": " + err.Cause.Error()
+}
+
+func writeProblem(w http.ResponseWriter, err error) {
+	problem := problemOf(err)
+	if problem.Status == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	}
+	writeBody(w, typeProblem, problem.Status, problem)
+}
+
+func writeJSON(w http.ResponseWriter, status int, answer any) {
+	writeBody(w, typeJSON, status, answer)
+}
+
+func writeBody(w http.ResponseWriter, mediaType string, status int, answer any) {
+	w.Header().Set("Content-Type", mediaType)
+	w.Header().Set("Cache-Control", "no-store")
+	w.Header().Set("X-Content-Type-Options", "nosniff")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(answer)
+}
--- /dev/null
+++ b/internal/adminapi/types.go
@@ -0,0 +1,211 @@
+// Package adminapi is the administration API of balancers and agents: HTTP with
+// JSON, the same typed messages for server, client and command line.
+//
+// Every process serves GET /v1/state and GET /v1/presence. Balancers also serve
+// services, tickets, the audit trail and drains by ticket; agents serve the
+// drain of their own backend server. Errors are Problem Details (RFC 9457) with
+// the kind and the remedy of package errkind.
+package adminapi
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/almondledge/almondledge/internal/member"
+	"github.com/almondledge/almondledge/internal/service"
+	"github.com/almondledge/almondledge/internal/ticket"
+)
+
+// Paths of the API.
+const (
+	PathServices = "/v1/services"
+	PathState    = "/v1/state"
+	PathTickets  = "/v1/tickets"
+	PathHistory  = "/v1/history"
+	PathPresence = "/v1/presence"
+	PathDrain    = "/v1/drain"
+)
+
+// Bounds of lists.
+const (
+	// DefaultHistory is the number of tickets that GET /v1/history returns.
+	DefaultHistory = 20
+	// MaxServices is the number of services that one GET /v1/services returns.
+	MaxServices = 1000
+)
+
+// Instance names the process that answered.
+type Instance struct {
+	Address    netip.AddrPort `json:"address"`
+	Role       string         `json:"role"`
+	DataCentre string         `json:"dataCentre"`
+	Region     string         `json:"region"`
+}
+
+// Service is a service in force.
+type Service struct {
+	service.Spec
+	// Revision is the store revision that last changed the service.
+	Revision int64 `json:"revision"`
+}
+
+// ServiceList is the answer to GET /v1/services?after=ID.
+type ServiceList struct {
+	// Revision is the store revision in force at the process that answered.
+	Revision int64 `json:"revision"`
+	// Services are sorted by ID.
+	Services []Service `json:"services"`
+	// Next is the value of "after" that continues the list; zero at its end.
+	Next service.ID `json:"next,omitempty"`
+}
+
+// State is the answer to GET /v1/state?spread.
+type State struct {
+	Instance Instance `json:"instance"`
+	// Ready is false while the process cannot do its work; Reason says why.
+	Ready  bool   `json:"ready"`
+	Reason string `json:"reason,omitempty"`
+	// Revision is the store revision in force at this process.
+	Revision int64 `json:"revision"`
+	// Services is the number of services in force at this process.
+	Services int `json:"services"`
+	// Spread says which processes have the revision, if the query has "spread"
+	// and the process is a balancer. SpreadProblem says why it is missing.
+	Spread        *Spread `json:"spread,omitempty"`
+	SpreadProblem string  `json:"spreadProblem,omitempty"`
+}
+
+// Spread says which processes have a revision in force.
+type Spread struct {
+	Revision    int64              `json:"revision"`
+	DataCentres []DataCentreSpread `json:"dataCentres"`
+}
+
+// DataCentreSpread is the part of a Spread for one data centre.
+type DataCentreSpread struct {
+	Name string `json:"name"`
+	// Complete is false if the data centre has not answered in time.
+	Complete bool `json:"complete"`
+	// Balancers and Agents count the processes that were asked and answered.
+	Balancers int `json:"balancers"`
+	Agents    int `json:"agents"`
+	// Lagging counts those of them that do not have the revision in force yet.
+	Lagging int `json:"lagging"`
+	// Silent counts balancers that did not answer.
+	Silent int `json:"silent"`
+	// Sample names some of the lagging and silent processes.
+	Sample []netip.AddrPort `json:"sample,omitempty"`
+}
+
+// InForce reports whether every process of every data centre answered and has
+// the revision in force.
+func (s Spread) InForce() bool {
+	for _, dataCentre := range s.DataCentres {
+		if !dataCentre.Complete || dataCentre.Lagging > 0 || dataCentre.Silent > 0 {
+			return false
+		}
+	}
+	return len(s.DataCentres) > 0
+}
+
+// TicketRequest is the body of POST /v1/tickets.
+type TicketRequest struct {
+	Ticket ticket.Ticket `json:"ticket"`
+	// DryRun checks the ticket and shows what it would change, without submitting it.
+	DryRun bool `json:"dryRun,omitempty"`
+}
+
+// TicketResult is the answer to POST /v1/tickets: one of the fields is set.
+type TicketResult struct {
+	Outcome *ticket.Outcome `json:"outcome,omitempty"`
+	Preview *ticket.Preview `json:"preview,omitempty"`
+}
+
+// TicketStatus is the answer to GET /v1/tickets/{number or ID}/status.
+type TicketStatus struct {
+	Number   int64  `json:"number"`
+	ID       string `json:"id"`
+	Revision int64  `json:"revision"`
+	// InForce reports that every process has the ticket in force.
+	InForce bool   `json:"inForce"`
+	Spread  Spread `json:"spread"`
+}
+
+// History is the answer to GET /v1/history?from=NUMBER&count=N, newest first.
+type History struct {
+	Tickets []ticket.Record `json:"tickets"`
+}
+
+// Presence is the answer to GET /v1/presence.
+type Presence struct {
+	Members []Member `json:"members"`
+}
+
+// Member is one process as this process sees it.
+type Member struct {
+	Address     netip.AddrPort `json:"address"`
+	Stream      netip.AddrPort `json:"stream"`
+	Role        string         `json:"role"`
+	State       string         `json:"state"`
+	Incarnation uint64         `json:"incarnation"`
+	DataCentre  string         `json:"dataCentre"`
+	// Service is the ID of the service that an agent serves.
+	Service service.ID `json:"service,omitempty"`
+	// Capacity is the weight of an agent's backend server, in slots.
+	Capacity uint16 `json:"capacity,omitempty"`
+	// LoadPercent is the occupied share of an agent's backend server.
+	LoadPercent int `json:"loadPercent,omitempty"`
+}
+
+// DrainRequest is the body of POST /v1/drain. On a balancer it becomes a change
+// ticket; an agent drains its own backend server and reads Submitter only.
+type DrainRequest struct {
+	// ID is the ID of the ticket. Choose one to be able to ask for the outcome
+	// after a lost answer; left out, the balancer chooses.
+	ID string `json:"id,omitempty"`
+	// Submitter names who is responsible for the change.
+	Submitter string `json:"submitter"`
+	// Service is the name of the service.
+	Service string `json:"service,omitempty"`
+	// Agent is the address of the agent beside the backend server.
+	Agent netip.AddrPort `json:"agent,omitzero"`
+	// Undo ends the drain.
+	Undo bool `json:"undo,omitempty"`
+}
+
+// DrainResult is the answer to POST /v1/drain.
+type DrainResult struct {
+	// Unchanged reports that the service was in the wanted state already.
+	Unchanged bool `json:"unchanged,omitempty"`
+	// Outcome is the ticket's outcome on a balancer.
+	Outcome *ticket.Outcome `json:"outcome,omitempty"`
+}
+
+// Tickets submits change tickets and reads the audit trail. Package ticket
+// implements it with Submitter and History.
+type Tickets interface {
+	Submit(ctx context.Context, t ticket.Ticket) (ticket.Outcome, error)
+	DryRun(ctx context.Context, t ticket.Ticket) (ticket.Preview, error)
+	Show(ctx context.Context, id string) (ticket.Record, error)
+	ShowNumber(ctx context.Context, number int64) (ticket.Record, error)
+	List(ctx context.Context, number int64, count int) ([]ticket.Record, error)
+}
+
+// Configuration is the configuration in force at this process.
+type Configuration interface {
+	// Services returns the services in force, sorted by ID, and their revision.
+	Services() (revision int64, services []Service)
+	// Spread asks which processes have a revision in force, until ctx ends.
+	Spread(ctx context.Context, revision int64) (Spread, error)
+}
+
+// Members lists the processes that this process knows.
+type Members interface {
+	Members() []member.Member
+}
+
+// Drainer drains the backend server of an agent.
+type Drainer interface {
+	// Drain starts to drain and returns; draining again changes nothing.
+	Drain(submitter string) error
+}
--- /dev/null
+++ b/internal/logging/standard.go
@@ -0,0 +1,32 @@
+package logging
+
+import (
+	stdlog "log"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+)
+
+// standardInterval is the time between two lines of one standard logger.
+const standardInterval = 10 * time.Second
+
+// Standard returns a logger of the standard library for servers of package
+// net/http. Each of its lines becomes an event with the given message, at most
+// one every ten seconds, because peers can provoke them.
+func Standard(logger log.Interface, message string) *stdlog.Logger {
+	return stdlog.New(&standardWriter{limited: NewLimited(logger, standardInterval), message: message}, "", 0)
+}
+
+// standardWriter turns lines into events.
+type standardWriter struct {
+	limited *Limited
+	message string
+}
+
+// Write logs one line.
+func (w *standardWriter) Write(line []byte) (int, error) {
+	text := strings.TrimSpace(string(line))
+	w.limited.Warn(time.Now(), w.message, log.Fields{"error": text})
+	return len(line), nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,8 +31,9 @@
 	DefaultCapacity = 5
 	// DefaultDrainTimeout bounds a graceful stop of an agent.
 	DefaultDrainTimeout = time.Hour
-	// DefaultOperatorTimeout bounds one call of the administration API.
-	DefaultOperatorTimeout = 10 * time.Second
+	// DefaultOperatorTimeout bounds one call of the administration API. It leaves
+	// a balancer time to ask the whole fleet.
+	DefaultOperatorTimeout = 30 * time.Second
 	// DefaultAdminPort is the port of the administration API on loopback.
 	DefaultAdminPort = 7080
 )
@@ -128,7 +129,7 @@
 	// TLS holds the fleet CA and a client certificate of the operator.
 	// Default: none; only http endpoints on loopback work without.
 	TLS TLS `json:"tls"`
-	// TimeoutMillis bounds one call, in milliseconds. Default: 10000.
+	// TimeoutMillis bounds one call, in milliseconds. Default: 30000.
 	TimeoutMillis int64 `json:"timeoutMillis"`
 }
 
--- a/internal/stream/server.go
+++ b/internal/stream/server.go
@@ -9,6 +9,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -66,6 +67,8 @@
 	HandshakeTimeout time.Duration
 	// Observer is told of refused connections. Default: none.
 	Observer Observer
+	// ErrorLog gets the errors of the HTTP/2 server. Default: the standard logger.
+	ErrorLog *log.Logger
 }
 
 // Server accepts connections on the stream address.
@@ -97,7 +100,7 @@
 		cancel:  cancel,
 	}
 	if options.Relay != nil {
-		server.relay = newRelayServer(options.Relay)
+		server.relay = newRelayServer(options)
 		server.relayed = newHandoff()
 	}
 	return server
@@ -114,11 +117,12 @@
 	return names
 }
 
-func newRelayServer(handler http.Handler) *http.Server {
+func newRelayServer(options Options) *http.Server {
 	var http2 http.Protocols
 	http2.SetHTTP2(true)
 	return &http.Server{
-		Handler:           handler,
+		Handler:           options.Relay,
+		ErrorLog:          options.ErrorLog,
 		Protocols:         &http2,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       relayIdleTimeout,
