--- a/cmd/almondledge/main.go
+++ b/cmd/almondledge/main.go
@@ -2,11 +2,22 @@
 package main
 
 import (
-	"fmt"
+	"context"
 	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/almondledge/almondledge/internal/cli"
 )
 
+// commands lists the sub-commands of the binary.
+type commands struct {
+	cli.Commands
+}
+
 func main() {
-	fmt.Fprintln(os.Stderr, "almondledge: no command yet")
-	os.Exit(2)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := cli.Run(ctx, os.Args[1:], &commands{}, cli.Streams{Out: os.Stdout, Err: os.Stderr})
+	stop()
+	os.Exit(code)
 }
--- a/internal/adminapi/adminapi_test.go
+++ b/internal/adminapi/adminapi_test.go
@@ -432,3 +432,9 @@
 	is.Equal(recorder.Header().Get("Content-Type"), "application/problem+json")
 	is.True(bytes.HasPrefix(recorder.Body.Bytes(), []byte(`{"type":"urn:almondledge:problem:conflict","title":"Conflict","status":409,"detail":"another ticket won","kind":"conflict","remedy":"look at the state"}`)))
 }
+
+// Package ticket implements Tickets without an adapter.
+var _ Tickets = struct {
+	*ticket.Submitter
+	ticket.History
+}{}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,89 @@
+// Package cli holds the operators' commands of the almondledge binary.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/almondledge/almondledge/internal/adminapi"
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/ticket"
+)
+
+// Exit codes of the binary.
+const (
+	ExitOK      = 0
+	ExitFailure = 1
+	ExitUsage   = 2
+)
+
+// Commands are the operators' commands; the binary embeds them beside the
+// commands that start processes.
+type Commands struct {
+	Ticket   ticketCommands   `cmd:"" help:"Submit change tickets and follow them."`
+	Drain    drainCommand     `cmd:"" help:"Take a backend server out of service, by a change ticket."`
+	Status   statusCommand    `cmd:"" help:"Show the configuration in force, who has it, and which processes are present."`
+	Settings settingsCommands `cmd:"" help:"Check settings files and make keys."`
+	Version  versionCommand   `cmd:"" help:"Print the version."`
+}
+
+// Streams are where commands write.
+type Streams struct {
+	// Out gets results, Err gets progress.
+	Out, Err io.Writer
+}
+
+// Run parses args into grammar, a pointer to a struct that embeds Commands, runs
+// the chosen command and returns the exit code. Ctx ends on the first signal.
+func Run(ctx context.Context, args []string, grammar any, streams Streams, options ...kong.Option) int {
+	code := -1
+	options = append([]kong.Option{
+		kong.Name("almondledge"),
+		kong.Description("Layer-4 load balancer for shared services.\n\n" +
+			"Exit codes: 0 done, 1 failed, 2 wrong usage. Errors name the remedy."),
+		kong.Writers(streams.Out, streams.Err),
+		kong.Exit(func(status int) { code = status }),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true, NoExpandSubcommands: true}),
+		kong.BindTo(ctx, (*context.Context)(nil)),
+		kong.Bind(streams),
+	}, options...)
+	parser, err := kong.New(grammar, options...)
+	if err != nil {
+		_, _ = fmt.Fprintf(streams.Err, "almondledge: %v\n", err)
+		return ExitUsage
+	}
+	command, err := parser.Parse(args)
+	if code >= 0 { // help was printed
+		return code
+	}
+	if err != nil {
+		_, _ = fmt.Fprintf(streams.Err, "almondledge: %v (remedy: see almondledge --help)\n", err)
+		return ExitUsage
+	}
+	if err := command.Run(); err != nil {
+		report(streams.Err, err)
+		return ExitFailure
+	}
+	return ExitOK
+}
+
+// report prints an error, and for a conflict the states that won.
+func report(w io.Writer, err error) {
+	_, _ = fmt.Fprintf(w, "almondledge: %v\n", err)
+	var problem *adminapi.Problem
+	if !errors.As(err, &problem) || problem.Kind != errkind.Conflict || len(problem.Current) == 0 {
+		return
+	}
+	_, _ = fmt.Fprintln(w, "current states:")
+	printTable(w, []string{"SERVICE", "ID", "REVISION", "TICKET", "STATE"}, problem.Current, func(s ticket.ServiceState) []any {
+		state := "in force"
+		if s.Spec == nil {
+			state = "removed"
+		}
+		return []any{s.Name, s.ID, s.Revision, s.Ticket, state}
+	})
+}
--- /dev/null
+++ b/internal/cli/ticket.go
@@ -0,0 +1,277 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/adminapi"
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/service"
+	"github.com/almondledge/almondledge/internal/ticket"
+)
+
+// statusInterval is the time between two questions of ticket status --wait.
+const statusInterval = time.Second
+
+// ticketCommands are the commands under "ticket".
+type ticketCommands struct {
+	Submit  submitCommand       `cmd:"" help:"Submit a change ticket. Submitting the same ticket again is safe."`
+	Show    showCommand         `cmd:"" help:"Show a ticket with the states before and after it."`
+	History historyCommand      `cmd:"" help:"List accepted tickets, newest first."`
+	Status  ticketStatusCommand `cmd:"" help:"Show which processes have a ticket in force. Fails while some do not."`
+}
+
+type submitCommand struct {
+	connection
+	File   string `arg:"" help:"JSON file with the ticket; see examples/ticket.json." placeholder:"FILE"`
+	DryRun bool   `help:"Check the ticket and show what it would change, without submitting it."`
+}
+
+// Run submits the ticket.
+func (c submitCommand) Run(ctx context.Context, streams Streams) error {
+	change, err := loadTicket(c.File)
+	if err != nil {
+		return err
+	}
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	result, err := client.Submit(ctx, adminapi.TicketRequest{Ticket: change, DryRun: c.DryRun})
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(streams.Out, result)
+	}
+	if result.Preview != nil {
+		return printPreview(streams.Out, *result.Preview)
+	}
+	return printOutcome(streams.Out, result.Outcome)
+}
+
+// loadTicket reads a ticket and refuses unknown fields.
+func loadTicket(file string) (ticket.Ticket, error) {
+	var change ticket.Ticket
+	raw, err := readBounded(file, adminapi.MaxBodyBytes)
+	if err != nil {
+		return change, errkind.Wrap(err, errkind.Invalid, "ticket file cannot be read", "give the path of a JSON file with a ticket")
+	}
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&change); err != nil {
+		return change, errkind.Wrap(err, errkind.Invalid, "ticket file "+file, "correct it after the model of examples/ticket.json")
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return change, errkind.New(errkind.Invalid, "ticket file "+file+" goes on after the ticket", "keep one ticket in the file")
+	}
+	return change, change.Validate(nil)
+}
+
+func readBounded(file string, bound int64) ([]byte, error) {
+	opened, err := os.Open(file)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = opened.Close() }()
+	raw, err := io.ReadAll(io.LimitReader(opened, bound+1))
+	if err == nil && int64(len(raw)) > bound {
+		err = fmt.Errorf("%s is longer than %d bytes", file, bound)
+	}
+	return raw, err
+}
+
+func printPreview(w io.Writer, preview ticket.Preview) error {
+	if len(preview.Differences) == 0 {
+		_, err := fmt.Fprintln(w, "the ticket would change nothing")
+		return err
+	}
+	printTable(w, []string{"SERVICE", "FIELD", "BEFORE", "AFTER"}, preview.Differences, func(d ticket.Difference) []any {
+		return []any{d.Service, d.Field, d.Before, d.After}
+	})
+	return nil
+}
+
+func printOutcome(w io.Writer, outcome *ticket.Outcome) error {
+	if outcome == nil {
+		return errkind.New(errkind.Unknown, "the answer holds no outcome", "look for the ticket with ticket show")
+	}
+	repeated := ""
+	if outcome.Repeated {
+		repeated = ", as before"
+	}
+	_, err := fmt.Fprintf(w, "ticket %d (%s) accepted at revision %d%s\n", outcome.Number, outcome.ID, outcome.Revision, repeated)
+	return err
+}
+
+type showCommand struct {
+	connection
+	Ticket string `arg:"" help:"Number or ID of the ticket."`
+}
+
+// Run shows the ticket.
+func (c showCommand) Run(ctx context.Context, streams Streams) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	record, err := client.Ticket(ctx, c.Ticket)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(streams.Out, record)
+	}
+	printRecords(streams.Out, []ticket.Record{record})
+	_, _ = fmt.Fprintln(streams.Out)
+	return printPreview(streams.Out, ticket.Preview{Differences: ticket.Diff(record.Changes)})
+}
+
+type historyCommand struct {
+	connection
+	From  int64 `help:"Number of the newest ticket to list; 0 is the last." default:"0"`
+	Count int   `help:"Number of tickets to list, at most 200." default:"20"`
+}
+
+// Run lists tickets.
+func (c historyCommand) Run(ctx context.Context, streams Streams) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	history, err := client.History(ctx, c.From, c.Count)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(streams.Out, history)
+	}
+	printRecords(streams.Out, history.Tickets)
+	return nil
+}
+
+func printRecords(w io.Writer, records []ticket.Record) {
+	heading := []string{"TICKET", "ID", "TIME", "SUBMITTER", "OUTCOME", "REVISION", "SERVICES"}
+	printTable(w, heading, records, func(r ticket.Record) []any {
+		services := ""
+		for i, change := range r.Changes {
+			if i > 0 {
+				services += ","
+			}
+			services += change.Service + kindOf(change)
+		}
+		return []any{r.Number, r.ID, r.Time.UTC().Format(time.RFC3339), r.Submitter, r.Outcome, r.Revision, services}
+	})
+}
+
+// kindOf marks created services with + and removed ones with -.
+func kindOf(change ticket.Change) string {
+	switch {
+	case change.Before == nil:
+		return "+"
+	case change.After == nil:
+		return "-"
+	default:
+		return ""
+	}
+}
+
+type ticketStatusCommand struct {
+	connection
+	Ticket string        `arg:"" help:"Number or ID of the ticket."`
+	Wait   time.Duration `help:"Ask again until the ticket is in force everywhere, for at most this long." placeholder:"16s"`
+}
+
+// Run shows which processes have the ticket in force.
+func (c ticketStatusCommand) Run(ctx context.Context, streams Streams) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	status, err := c.ask(ctx, client)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		if err := printJSON(streams.Out, status); err != nil {
+			return err
+		}
+	} else {
+		_, _ = fmt.Fprintf(streams.Out, "ticket %d (%s) at revision %d\n\n", status.Number, status.ID, status.Revision)
+		printSpread(streams.Out, status.Spread)
+	}
+	if !status.InForce {
+		return errkind.New(errkind.Unavailable, fmt.Sprintf("ticket %d is not in force at every process yet", status.Number),
+			"wait with --wait; if it stays so, look at the processes named above")
+	}
+	return nil
+}
+
+// ask asks once, and then until the ticket is in force or the time is over.
+func (c ticketStatusCommand) ask(ctx context.Context, client *adminapi.Client) (adminapi.TicketStatus, error) {
+	deadline := time.Now().Add(c.Wait)
+	for {
+		status, err := client.TicketStatus(ctx, c.Ticket)
+		if err != nil || status.InForce || time.Now().Add(statusInterval).After(deadline) {
+			return status, err
+		}
+		select {
+		case <-ctx.Done():
+			return status, nil
+		case <-time.After(statusInterval):
+		}
+	}
+}
+
+type drainCommand struct {
+	connection
+	Service   string `arg:"" help:"Name of the service."`
+	Agent     string `arg:"" help:"Address of the agent beside the backend server, as IP:port; see status."`
+	Submitter string `help:"Who is responsible for the change." required:"" env:"USER"`
+	ID        string `help:"ID of the ticket, to ask for it after a lost answer. Chosen by the balancer if left out." name:"id" placeholder:"ID"`
+	Undo      bool   `help:"End the drain."`
+}
+
+// Run submits the drain.
+func (c drainCommand) Run(ctx context.Context, streams Streams) error {
+	agent, err := parseAgent(c.Agent)
+	if err != nil {
+		return err
+	}
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	result, err := client.Drain(ctx, adminapi.DrainRequest{
+		ID: c.ID, Submitter: c.Submitter, Service: c.Service, Agent: agent, Undo: c.Undo,
+	})
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(streams.Out, result)
+	}
+	if result.Unchanged {
+		_, err := fmt.Fprintln(streams.Out, "nothing to change")
+		return err
+	}
+	return printOutcome(streams.Out, result.Outcome)
+}
+
+// serviceText shows the service of an agent.
+func serviceText(id service.ID) string {
+	if id == 0 {
+		return ""
+	}
+	return fmt.Sprint(id)
+}
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"reflect"
+	"strconv"
 	"strings"
 
 	"github.com/almondledge/almondledge/internal/errkind"
@@ -37,6 +38,9 @@
 }
 
 func decodeValue(path string, raw json.RawMessage, target reflect.Value) error {
+	if string(raw) == strconv.Quote(Placeholder) {
+		return invalid(path, "is still the placeholder "+Placeholder+" of the example", keysRemedy)
+	}
 	if _, ok := target.Addr().Interface().(encoding.TextUnmarshaler); ok {
 		return decodeLeaf(path, raw, target)
 	}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -25,7 +25,8 @@
 	maxPEMBytes = 1 << 20
 )
 
-// Placeholder stands in the example files where a generated key belongs.
+// Placeholder is the value of fields that almondledge settings keys fills in. No
+// field accepts it.
 const Placeholder = "GENERATE"
 
 // redacted is what a secret prints as.
@@ -58,9 +59,6 @@
 
 // UnmarshalText reads a secret in base64.
 func (s *Secret) UnmarshalText(text []byte) error {
-	if string(text) == Placeholder {
-		return fmt.Errorf("still the placeholder %s of the example", Placeholder)
-	}
 	raw, err := base64.StdEncoding.Strict().DecodeString(string(text))
 	if err != nil {
 		return fmt.Errorf("not base64")
@@ -106,9 +104,6 @@
 	if text == "" || strings.Contains(text, "-----BEGIN ") {
 		return text, nil
 	}
-	if text == Placeholder {
-		return "", invalid(path, "is still the placeholder "+Placeholder+" of the example", keysRemedy)
-	}
 	file := text
 	if !filepath.IsAbs(file) {
 		file = filepath.Join(dir, file)
@@ -218,9 +213,6 @@
 }
 
 func validateToken(token Token) error {
-	if token == Placeholder {
-		return invalid("adminToken", "is still the placeholder "+Placeholder+" of the example", keysRemedy)
-	}
 	if token != "" && len(token) < minTokenLength {
 		return invalid("adminToken", "is too short", fmt.Sprintf("use at least %d characters; %s", minTokenLength, keysRemedy))
 	}
