--- a/internal/keyring/keyring_test.go
+++ b/internal/keyring/keyring_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 
 	"github.com/almondledge/almondledge/internal/errkind"
@@ -86,3 +87,19 @@
 	is.NoErr(ring.Replace([]settings.PacketKey{key(0, 1), key(1, 2)}, now))
 	is.Equal(ring.Version(0).LastUse(), now)
 }
+
+func TestMetricsShowTheUseOfEachVersion(t *testing.T) {
+	is := is.New(t)
+	ring, err := New([]settings.PacketKey{key(1, 1), key(0, 2)})
+	is.NoErr(err)
+	ring.Version(0).MarkUsed(now)
+	set := metrics.NewSet()
+	ring.Register(set)
+	var out bytes.Buffer
+	set.WritePrometheus(&out)
+	is.Equal(out.String(), `almondledge_packet_key_last_use_seconds{version="0"} 1000000
+almondledge_packet_key_current{version="0"} 0
+almondledge_packet_key_last_use_seconds{version="1"} 0
+almondledge_packet_key_current{version="1"} 1
+`)
+}
--- /dev/null
+++ b/internal/keyring/metrics.go
@@ -0,0 +1,33 @@
+package keyring
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Names of metrics.
+const (
+	// metricLastUse is when a packet of a version was last received, as Unix
+	// time; zero is never. It tells operators when a version may be removed.
+	metricLastUse = "almondledge_packet_key_last_use_seconds"
+	// metricCurrent is 1 for the current version and 0 for accepted ones.
+	metricCurrent = "almondledge_packet_key_current"
+)
+
+// Register adds the metrics of all versions, as they come and go, to set.
+func (r *Ring) Register(set *metrics.Set) {
+	set.RegisterMetricsWriter(func(w io.Writer) {
+		current := r.Current()
+		for _, keys := range r.Versions() {
+			label := fmt.Sprintf(`{version="%d"}`, keys.Version)
+			metrics.WriteGaugeUint64(w, metricLastUse+label, uint64(keys.lastUse.Load()))
+			var isCurrent uint64
+			if keys == current {
+				isCurrent = 1
+			}
+			metrics.WriteGaugeUint64(w, metricCurrent+label, isCurrent)
+		}
+	})
+}
