--- a/cmd/almondledge/main.go
+++ b/cmd/almondledge/main.go
@@ -2,16 +2,24 @@
 package main
 
 import (
-	"github.com/alecthomas/kong"
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/almondledge/almondledge/internal/cli"
 )
 
-// cli lists the sub-commands; each has a file of its own.
-type cli struct {
+// commands lists the sub-commands of the binary.
+type commands struct {
 	Balancer balancerCmd `cmd:"" help:"Run a balancer."`
 	Agent    agentCmd    `cmd:"" help:"Run an agent beside a backend server."`
+	cli.Commands
 }
 
 func main() {
-	ctx := kong.Parse(&cli{}, kong.Name("almondledge"), kong.Description("Layer-4 load balancer for long flows."))
-	ctx.FatalIfErrorf(ctx.Run())
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := cli.Run(ctx, os.Args[1:], &commands{}, cli.Streams{Out: os.Stdout, Err: os.Stderr})
+	stop()
+	os.Exit(code)
 }
