lab load: open-loop load with ledger checks, report and plots

Cause: broken flows, cut requests, bookings run twice, false "not run" and imbalance must be measured by a tool that others can rerun. Ruled out: closed-loop callers, which hide stalls; each request has an intended start and its latency counts from there. Change: Poisson arrivals by seed, long flows that poll, sheets on flows of their own, bookings with keys issued by the system and repeated safely, a check of what callers were told against the ledgers, HDR histograms, imbalance, processor time and control bytes from /metrics, JSON report, table and plots.

--- /dev/null
+++ b/cmd/lab/load.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"net/netip"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/lab/load"
+)
+
+// loadCmd drives callers against running services.
+type loadCmd struct {
+	Target         []string      `required:"" placeholder:"NAME=IP:PORT" help:"Service under load; may be repeated."`
+	ServerName     string        `default:"" help:"Host name in requests; by default the name of the service."`
+	CA             string        `placeholder:"FILE" type:"existingfile" help:"PEM file of the trusted authority."`
+	Insecure       bool          `help:"Trust any certificate."`
+	Duration       time.Duration `default:"30s" help:"Time in which requests begin."`
+	RequestTimeout time.Duration `default:"20s" help:"Bound of each request."`
+	IdleTimeout    time.Duration `default:"30s" help:"Time after which a silent connection counts as broken."`
+	Seed           uint64        `default:"1" help:"Seed of the arrivals."`
+	Flows          int           `default:"200" help:"Long flows for each service."`
+	Poll           time.Duration `default:"1s" help:"Time between two requests of a long flow."`
+	Feeds          int           `default:"0" help:"Long flows that read feeds instead."`
+	FeedLines      int           `default:"20" help:"Lines of a feed."`
+	FeedInterval   time.Duration `default:"250ms" help:"Time between two lines of a feed."`
+	Sheets         float64       `default:"20" help:"Downloads a second for each service, each on a flow of its own."`
+	SheetBytes     int64         `default:"200000" help:"Size of a download."`
+	Bookings       float64       `default:"20" help:"Bookings a second for each service."`
+	Work           time.Duration `default:"5ms" help:"Time that a backend server takes for a booking."`
+	Servers        int           `help:"Backend servers of each service; by default those that answered."`
+	Ledger         []string      `placeholder:"FILE" help:"Ledger file of a backend server; may be repeated."`
+	Metrics        []string      `placeholder:"ROLE=URL" help:"Metrics endpoint of a process; may be repeated."`
+	MetricsToken   string        `help:"Bearer token of the metrics endpoints."`
+	Report         string        `default:"report" placeholder:"DIR" help:"Folder for report.json and the plots."`
+}
+
+// Run drives the load, writes the report, and fails on a broken promise.
+func (c *loadCmd) Run() error {
+	cfg, err := c.config()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	report, err := load.Run(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	return writeReport(report, c.Report)
+}
+
+func writeReport(report *load.Report, dir string) error {
+	if err := report.WriteJSON(dir); err != nil {
+		return err
+	}
+	if err := report.WritePlots(dir); err != nil {
+		return err
+	}
+	if err := report.WriteTable(os.Stdout); err != nil {
+		return err
+	}
+	if n := len(report.Violations); n > 0 {
+		return fmt.Errorf("%d promises broken; see %s/report.json", n, dir)
+	}
+	return nil
+}
+
+func (c *loadCmd) config() (load.Config, error) {
+	cfg := load.Config{
+		TLS:            &tls.Config{InsecureSkipVerify: c.Insecure},
+		Duration:       c.Duration,
+		RequestTimeout: c.RequestTimeout,
+		IdleTimeout:    c.IdleTimeout,
+		Seed:           c.Seed,
+		Ledgers:        c.Ledger,
+		Progress:       func(line string) { fmt.Println(line) },
+	}
+	if c.CA != "" {
+		text, err := os.ReadFile(c.CA)
+		if err != nil {
+			return cfg, err
+		}
+		cfg.TLS.RootCAs = x509.NewCertPool()
+		cfg.TLS.RootCAs.AppendCertsFromPEM(text)
+	}
+	for _, text := range c.Target {
+		name, address, _ := strings.Cut(text, "=")
+		addr, err := netip.ParseAddrPort(address)
+		if err != nil {
+			return cfg, errkind.Wrap(err, errkind.Invalid, "bad target "+text, "write it as NAME=IP:PORT")
+		}
+		cfg.Targets = append(cfg.Targets, c.target(name, addr))
+	}
+	for _, text := range c.Metrics {
+		role, url, ok := strings.Cut(text, "=")
+		if !ok {
+			return cfg, errkind.New(errkind.Invalid, "bad metrics endpoint "+text, "write it as ROLE=URL")
+		}
+		cfg.Metrics = append(cfg.Metrics, load.MetricsSource{Role: role, URL: url, Token: c.MetricsToken})
+	}
+	return cfg, nil
+}
+
+func (c *loadCmd) target(name string, addr netip.AddrPort) load.Target {
+	serverName := c.ServerName
+	if serverName == "" {
+		serverName = name
+	}
+	return load.Target{
+		Name:       name,
+		Address:    addr,
+		ServerName: serverName,
+		Servers:    c.Servers,
+		Mix: load.Mix{
+			LongFlows:         c.Flows,
+			PollInterval:      c.Poll,
+			Feeds:             c.Feeds,
+			FeedLines:         c.FeedLines,
+			FeedInterval:      c.FeedInterval,
+			SheetsPerSecond:   c.Sheets,
+			SheetBytes:        c.SheetBytes,
+			BookingsPerSecond: c.Bookings,
+			Work:              c.Work,
+		},
+	}
+}
--- a/internal/lab/caller/request.go
+++ b/internal/lab/caller/request.go
@@ -141,6 +141,10 @@
 		Key:        resp.Header.Get(keyField),
 		RetryAfter: retryAfter(resp.Header),
 	}
+	if a.Agent == "" {
+		// Without the field, the backend server tells where the flow ends.
+		a.Agent = a.Server
+	}
 	defer c.finish(a.Agent)
 	counted := &countingReader{r: resp.Body}
 	a.Verdict, a.Err = judge(ctx, r, resp, counted)
--- /dev/null
+++ b/internal/lab/load/usage.go
@@ -0,0 +1,133 @@
+package load
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	scrapeTimeout = 2 * time.Second
+	maxScrape     = 4 << 20
+)
+
+// Names of metrics.
+const (
+	cpuMetric          = "process_cpu_seconds_total"
+	memoryMetric       = "process_resident_memory_bytes"
+	controlBytesMetric = "almondledge_control_sent_bytes_total"
+)
+
+// MetricsSource is the /metrics endpoint of one process.
+type MetricsSource struct {
+	// Role groups processes, such as balancer.
+	Role string
+	// URL is the address of the endpoint.
+	URL string
+	// Token is the bearer token, if one is needed.
+	Token string
+}
+
+// RoleUse is what the processes of one role used during the run.
+type RoleUse struct {
+	// Role is the role.
+	Role string `json:"role"`
+	// Processes is the number of processes that answered before and after.
+	Processes int `json:"processes"`
+	// CPUSeconds is the processor time of all of them.
+	CPUSeconds float64 `json:"cpuSeconds"`
+	// MostMemoryBytes is the memory of the largest one.
+	MostMemoryBytes float64 `json:"mostMemoryBytes"`
+	// ControlBytesPerSecond is the mean control traffic that one process sent.
+	ControlBytesPerSecond float64 `json:"controlBytesPerSecond"`
+}
+
+// usage is one reading of a process's metrics.
+type usage struct {
+	ok                        bool
+	at                        time.Time
+	cpu, memory, controlBytes float64
+}
+
+// scrapeAll reads every source; processes that do not answer are left out.
+func scrapeAll(ctx context.Context, sources []MetricsSource) []usage {
+	readings := make([]usage, len(sources))
+	for i, s := range sources {
+		readings[i] = scrape(ctx, s)
+	}
+	return readings
+}
+
+func scrape(ctx context.Context, s MetricsSource) usage {
+	ctx, cancel := context.WithTimeout(ctx, scrapeTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.URL, nil)
+	if err != nil {
+		return usage{}
+	}
+	if s.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+s.Token)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return usage{}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return usage{}
+	}
+	return parseUsage(io.LimitReader(resp.Body, maxScrape))
+}
+
+// parseUsage adds up the wanted metrics over their labels.
+func parseUsage(r io.Reader) usage {
+	u := usage{ok: true, at: time.Now()}
+	scanner := bufio.NewScanner(r)
+	for scanner.Scan() {
+		line := scanner.Text()
+		name, _, _ := strings.Cut(line, "{")
+		name, _, _ = strings.Cut(name, " ")
+		value, err := strconv.ParseFloat(line[strings.LastIndexByte(line, ' ')+1:], 64)
+		if err != nil {
+			continue
+		}
+		switch name {
+		case cpuMetric:
+			u.cpu += value
+		case memoryMetric:
+			u.memory += value
+		case controlBytesMetric:
+			u.controlBytes += value
+		}
+	}
+	return u
+}
+
+// roleUses returns the use between two readings for each role. A process whose
+// counters fell was restarted and is left out.
+func roleUses(sources []MetricsSource, before, after []usage) []RoleUse {
+	var uses []RoleUse
+	for i, s := range sources {
+		b, a := before[i], after[i]
+		if !b.ok || !a.ok || a.cpu < b.cpu || !a.at.After(b.at) {
+			continue
+		}
+		index := slices.IndexFunc(uses, func(u RoleUse) bool { return u.Role == s.Role })
+		if index < 0 {
+			uses = append(uses, RoleUse{Role: s.Role})
+			index = len(uses) - 1
+		}
+		u := &uses[index]
+		u.Processes++
+		u.CPUSeconds += a.cpu - b.cpu
+		u.MostMemoryBytes = max(u.MostMemoryBytes, a.memory)
+		rate := (a.controlBytes - b.controlBytes) / a.at.Sub(b.at).Seconds()
+		u.ControlBytesPerSecond += (rate - u.ControlBytesPerSecond) / float64(u.Processes)
+	}
+	return uses
+}
