--- a/cmd/almondledge/main.go
+++ b/cmd/almondledge/main.go
@@ -10,8 +10,11 @@
 	"github.com/almondledge/almondledge/internal/cli"
 )
 
-// commands lists the sub-commands of the binary.
+// commands lists the sub-commands of the binary: those that start processes,
+// and those of the operators.
 type commands struct {
+	Balancer balancerCmd `cmd:"" help:"Run a balancer."`
+	Agent    agentCmd    `cmd:"" help:"Run an agent beside a backend server."`
 	cli.Commands
 }
 
--- /dev/null
+++ b/cmd/almondledge/roles.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"os"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/almondledge/almondledge/internal/agent"
+	"github.com/almondledge/almondledge/internal/balancer"
+	"github.com/almondledge/almondledge/internal/logging"
+	"github.com/almondledge/almondledge/internal/network"
+	"github.com/almondledge/almondledge/internal/process"
+	"github.com/almondledge/almondledge/internal/settings"
+)
+
+// balancerCmd runs a balancer.
+type balancerCmd struct {
+	Settings string `arg:"" help:"Settings file (JSON)." type:"existingfile"`
+}
+
+// Run serves until the process is told to stop.
+func (c balancerCmd) Run() error {
+	config, err := settings.LoadBalancer(c.Settings)
+	if err != nil {
+		return err
+	}
+	logger, err := logging.New(os.Stderr, config.LogLevel, source(config.Common))
+	if err != nil {
+		return err
+	}
+	b, err := balancer.New(config, balancer.Options{Log: logger, Metrics: metrics.NewSet(), Network: network.System{}})
+	if err != nil {
+		return err
+	}
+	reload := func() error {
+		next, err := settings.LoadBalancer(c.Settings)
+		if err != nil {
+			return err
+		}
+		return b.Reload(next)
+	}
+	return process.Run(logger, b.Run, reload)
+}
+
+// agentCmd runs an agent.
+type agentCmd struct {
+	Settings string `arg:"" help:"Settings file (JSON)." type:"existingfile"`
+}
+
+// Run serves until the process is told to stop.
+func (c agentCmd) Run() error {
+	config, err := settings.LoadAgent(c.Settings)
+	if err != nil {
+		return err
+	}
+	logger, err := logging.New(os.Stderr, config.LogLevel, source(config.Common))
+	if err != nil {
+		return err
+	}
+	a, err := agent.New(config, agent.Options{Log: logger, Metrics: metrics.NewSet(), Network: network.System{}})
+	if err != nil {
+		return err
+	}
+	reload := func() error {
+		next, err := settings.LoadAgent(c.Settings)
+		if err != nil {
+			return err
+		}
+		return a.Reload(next)
+	}
+	return process.Run(logger, a.Run, reload)
+}
+
+func source(common settings.Common) logging.Source {
+	return logging.Source{Role: string(common.Role), Instance: common.Address.String(), DataCentre: common.DataCentre}
+}
