Drain: never report 'nothing to change' from a view that lags behind

Cause: a balancer answered from its own catalog that a backend server was drained already; a newer ticket, not yet seen, may have ended that drain. Ruled out: submitting an empty change, which would make a ticket for nothing. Change: the unchanged state is checked against the store by a dry run with its revision as base; a conflict goes on from the state that won. Proved: TestTicketsReachTheStore fails without the check; it runs the commands against the API, change tickets and the stand-in of the store.

--- a/internal/adminapi/drain.go
+++ b/internal/adminapi/drain.go
@@ -9,6 +9,7 @@
 
 	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/logging"
+	"github.com/almondledge/almondledge/internal/service"
 	"github.com/almondledge/almondledge/internal/ticket"
 )
 
@@ -43,19 +44,12 @@
 		request.ID = "drain-" + rand.Text()
 	}
 	for attempt := 1; ; attempt++ {
-		change, needed := drainTicket(request, target)
-		if !needed {
-			return DrainResult{Unchanged: true}, nil
-		}
-		outcome, err := a.submitAndLog(r, change)
-		if err == nil {
-			return DrainResult{Outcome: &outcome}, nil
-		}
+		result, err := a.drainFrom(r, request, target)
 		// A conflict is certainly not in force, so the same ID may carry the
 		// change again, on top of the state that won.
 		var conflict *ticket.ConflictError
 		if !errors.As(err, &conflict) || attempt == drainAttempts {
-			return DrainResult{}, err
+			return result, err
 		}
 		if target, found = current(conflict.Current, target.ID); !found {
 			return DrainResult{}, err
@@ -63,10 +57,14 @@
 	}
 }
 
-// drainTicket returns the ticket for a drain of target, and whether one is needed.
-func drainTicket(request DrainRequest, target Service) (change ticket.Ticket, needed bool) {
+// drainFrom submits the drain on top of target. If target needs no change, it
+// asks the store whether target is still the current state, because this
+// process may lag behind.
+func (a *api) drainFrom(r *http.Request, request DrainRequest, target Service) (DrainResult, error) {
 	if slices.Contains(target.Draining, request.Agent) != request.Undo {
-		return ticket.Ticket{}, false
+		check := ticketFor(target.Spec, target.Revision, "check-"+rand.Text(), request.Submitter)
+		_, err := a.Tickets.DryRun(r.Context(), check)
+		return DrainResult{Unchanged: err == nil}, err
 	}
 	spec := target.Spec
 	if request.Undo {
@@ -74,10 +72,21 @@
 	} else {
 		spec.Draining = append(slices.Clone(spec.Draining), request.Agent)
 	}
-	change = ticket.Ticket{ID: request.ID, Submitter: request.Submitter}
-	change.Services = append(change.Services, spec)
-	change.Bases = append(change.Bases, ticket.Base{Service: spec.Name, Revision: target.Revision})
-	return change, true
+	outcome, err := a.submitAndLog(r, ticketFor(spec, target.Revision, request.ID, request.Submitter))
+	if err != nil {
+		return DrainResult{}, err
+	}
+	return DrainResult{Outcome: &outcome}, nil
+}
+
+// ticketFor returns a ticket that sets one service, against one base.
+func ticketFor(spec service.Spec, base int64, id, submitter string) ticket.Ticket {
+	return ticket.Ticket{
+		ID:        id,
+		Submitter: submitter,
+		Services:  []service.Spec{spec},
+		Bases:     []ticket.Base{{Service: spec.Name, Revision: base}},
+	}
 }
 
 // drainOwn drains the backend server beside this agent.
