--- a/internal/adminapi/auth.go
+++ b/internal/adminapi/auth.go
@@ -5,19 +5,31 @@
 	"crypto/subtle"
 	"net/http"
 	"strings"
+	"time"
+
+	"github.com/apex/log"
 
 	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/logging"
 	"github.com/almondledge/almondledge/internal/pki"
 )
 
+// refusalInterval is the time between two log lines about refused requests.
+const refusalInterval = 10 * time.Second
+
 // authenticator accepts the bearer token or the certificate of an operator.
 type authenticator struct {
-	token  [sha256.Size]byte
-	usable bool
+	token   [sha256.Size]byte
+	usable  bool
+	limited *logging.Limited
 }
 
-func newAuthenticator(token string) authenticator {
-	return authenticator{token: sha256.Sum256([]byte(token)), usable: token != ""}
+func newAuthenticator(token string, logger log.Interface) authenticator {
+	return authenticator{
+		token:   sha256.Sum256([]byte(token)),
+		usable:  token != "",
+		limited: logging.NewLimited(logger, refusalInterval),
+	}
 }
 
 // accepts reports whether a request may administer the process.
@@ -48,6 +60,7 @@
 func (a authenticator) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !a.accepts(r) {
+			a.limited.Warn(time.Now(), "administration request refused", log.Fields{"remote": r.RemoteAddr, "path": r.URL.Path})
 			writeProblem(w, errkind.New(errkind.Unauthenticated, "the administration API needs authentication",
 				"send the adminToken of the settings as bearer token, or use the certificate of an operator"))
 			return
--- a/internal/adminapi/server.go
+++ b/internal/adminapi/server.go
@@ -63,7 +63,7 @@
 // NewHandler returns the handler of the administration address.
 func NewHandler(options Options) http.Handler {
 	a := &api{Options: options, slots: make(chan struct{}, maxConcurrent)}
-	auth := newAuthenticator(options.Token)
+	auth := newAuthenticator(options.Token, options.Logger)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+PathState, a.state)
 	mux.HandleFunc("GET "+PathPresence, a.presence)
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -10,7 +10,6 @@
 	"strings"
 
 	"github.com/almondledge/almondledge/internal/adminapi"
-	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/service"
 )
 
@@ -127,10 +126,10 @@
 	return strings.Join(texts, ",")
 }
 
-func parseAgent(text string) (netip.AddrPort, error) {
-	agent, err := netip.ParseAddrPort(text)
-	if err != nil {
-		return agent, errkind.Wrap(err, errkind.Invalid, "address of the agent", "give it as IP:port, such as 10.1.2.3:7000; see status")
+// serviceText shows the service of an agent.
+func serviceText(id service.ID) string {
+	if id == 0 {
+		return ""
 	}
-	return agent, nil
+	return fmt.Sprint(id)
 }
--- a/internal/cli/ticket.go
+++ b/internal/cli/ticket.go
@@ -11,7 +11,6 @@
 
 	"github.com/almondledge/almondledge/internal/adminapi"
 	"github.com/almondledge/almondledge/internal/errkind"
-	"github.com/almondledge/almondledge/internal/service"
 	"github.com/almondledge/almondledge/internal/ticket"
 )
 
@@ -231,47 +230,3 @@
 		}
 	}
 }
-
-type drainCommand struct {
-	connection
-	Service   string `arg:"" help:"Name of the service."`
-	Agent     string `arg:"" help:"Address of the agent beside the backend server, as IP:port; see status."`
-	Submitter string `help:"Who is responsible for the change." required:"" env:"USER"`
-	ID        string `help:"ID of the ticket, to ask for it after a lost answer. Chosen by the balancer if left out." name:"id" placeholder:"ID"`
-	Undo      bool   `help:"End the drain."`
-}
-
-// Run submits the drain.
-func (c drainCommand) Run(ctx context.Context, streams Streams) error {
-	agent, err := parseAgent(c.Agent)
-	if err != nil {
-		return err
-	}
-	client, err := c.client()
-	if err != nil {
-		return err
-	}
-	defer client.Close()
-	result, err := client.Drain(ctx, adminapi.DrainRequest{
-		ID: c.ID, Submitter: c.Submitter, Service: c.Service, Agent: agent, Undo: c.Undo,
-	})
-	if err != nil {
-		return err
-	}
-	if c.JSON {
-		return printJSON(streams.Out, result)
-	}
-	if result.Unchanged {
-		_, err := fmt.Fprintln(streams.Out, "nothing to change")
-		return err
-	}
-	return printOutcome(streams.Out, result.Outcome)
-}
-
-// serviceText shows the service of an agent.
-func serviceText(id service.ID) string {
-	if id == 0 {
-		return ""
-	}
-	return fmt.Sprint(id)
-}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -151,6 +151,7 @@
 		{agent, "backend", "", "http://10.0.0.1:8080"},
 		{agent, "backend", "", "https://127.0.0.1:8080"},
 		{agent, "announce", "", "10.0.0.1:7090"},
+		{agent, "announce", "", "127.0.2.1:7080"}, // same as admin
 		{agent, "capacity", "", 0},
 		{agent, "capacity", "", 65_536},
 		{agent, "callerTLS.certificate", "callerTLS", object{}},
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -76,6 +76,9 @@
 		if !a.Announce.Addr().IsLoopback() {
 			return invalid("announce", fmt.Sprintf("is %v", a.Announce), "use a loopback address, such as 127.0.0.1:7090")
 		}
+		if a.Announce == a.Admin || a.Announce == a.Stream {
+			return invalid("announce", "is the same as admin or stream", "give each a port of its own")
+		}
 	}
 	if a.ServiceName == "" && !announced {
 		return missing("serviceName", "name the service, or set announce so that the backend server can")
