--- /dev/null
+++ b/internal/lab/deploy/deployment.go
@@ -0,0 +1,452 @@
+package deploy
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/lab/load"
+	"github.com/almondledge/almondledge/internal/localfleet"
+	"github.com/almondledge/almondledge/internal/service"
+	"github.com/almondledge/almondledge/internal/standin/backend"
+	"github.com/almondledge/almondledge/internal/standin/fabric"
+	"github.com/almondledge/almondledge/internal/standin/platform"
+	"github.com/almondledge/almondledge/internal/store/etcd"
+	"github.com/almondledge/almondledge/internal/ticket"
+)
+
+const (
+	secretFileMode = 0o600
+	readyPoll      = 100 * time.Millisecond
+	// readyTimeout bounds the start of a stand-in.
+	readyTimeout = 10 * time.Second
+	// fabricJitter is the largest addition to the fabric's delay, in milliseconds.
+	fabricJitter = 1
+	// maxBalancers bounds the balancers that may join.
+	maxBalancers = 32
+)
+
+// Config says how a deployment is started.
+type Config struct {
+	// Place is what is deployed.
+	Place Place
+	// Binary is the path of the almondledge binary.
+	Binary string
+	// Lab is the path of the lab binary, which runs the stand-ins.
+	Lab string
+	// Dir is an empty folder for settings, ledgers and logs.
+	Dir string
+	// Seed fixes the random choices of the stand-ins.
+	Seed uint64
+}
+
+// Host is one backend server with its agent.
+type Host struct {
+	// Agent and Backend are the two processes.
+	Agent, Backend *Process
+	// Service is the service that the host serves.
+	Service string
+	// AgentAddr identifies the agent.
+	AgentAddr netip.AddrPort
+
+	control string
+	admin   netip.AddrPort
+	ledger  string
+}
+
+// BalancerHost is one balancer.
+type BalancerHost struct {
+	*Process
+	// FabricListen is where the fabric sends packets.
+	FabricListen netip.AddrPort
+
+	admin netip.AddrPort
+}
+
+// Deployment is a running deployment. Methods may be used from several
+// goroutines, but each process by one at a time.
+type Deployment struct {
+	// Hosts are the backend servers with their agents.
+	Hosts []*Host
+
+	cfg      Config
+	fleet    *localfleet.Fleet
+	platform *Process
+	fabric   *Process
+	store    *etcd.Client
+
+	mu        sync.Mutex // guards the fields below
+	balancers []*BalancerHost
+	specs     map[string]service.Spec
+	tickets   int
+}
+
+// Start starts all processes and waits until every agent is ready. After an
+// error nothing is left running.
+func Start(ctx context.Context, cfg Config) (*Deployment, error) {
+	d := &Deployment{cfg: cfg, specs: make(map[string]service.Spec)}
+	if err := d.start(ctx); err != nil {
+		d.Stop()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Deployment) start(ctx context.Context) error {
+	p := d.cfg.Place
+	if err := os.MkdirAll(d.cfg.Dir, 0o755); err != nil {
+		return err
+	}
+	var seeds []netip.AddrPort
+	for i := range p.Balancers {
+		seeds = append(seeds, p.addr(balancerNetwork, i+1, memberPort))
+	}
+	var err error
+	if d.fleet, err = localfleet.New(d.storeURL(), p.addr(platformNetwork, 2, fabricPort), seeds); err != nil {
+		return err
+	}
+	if d.store, err = etcd.New(etcd.Config{Endpoints: []string{d.storeURL()}}); err != nil {
+		return err
+	}
+	if err := d.startStandins(ctx); err != nil {
+		return err
+	}
+	for range p.Balancers {
+		if _, err := d.AddBalancer(ctx); err != nil {
+			return err
+		}
+	}
+	for _, s := range p.Services {
+		d.specs[s.Name] = p.Spec(s)
+	}
+	if err := d.Change(ctx, func([]*service.Spec) {}); err != nil {
+		return err
+	}
+	if err := d.startHosts(); err != nil {
+		return err
+	}
+	return d.WaitServing(ctx, d.Hosts)
+}
+
+func (d *Deployment) storeURL() string {
+	return "http://" + d.cfg.Place.addr(platformNetwork, 1, storePort).String()
+}
+
+func (d *Deployment) fabricURL() string {
+	return "http://" + d.cfg.Place.addr(platformNetwork, 2, fabricControlPort).String()
+}
+
+func (d *Deployment) newProcess(name string, role Role, path string, args ...string) *Process {
+	return &Process{Name: name, Role: role, path: path, args: args, log: filepath.Join(d.cfg.Dir, name+".log")}
+}
+
+func (d *Deployment) startStandins(ctx context.Context) error {
+	p := d.cfg.Place
+	d.platform = d.newProcess("platform", Platform, d.cfg.Lab,
+		"standin", "platform", "--listen", p.addr(platformNetwork, 1, storePort).String())
+	d.fabric = d.newProcess("fabric", Fabric, d.cfg.Lab,
+		"standin", "fabric", "--listen", d.fleet.FabricAddr.String(),
+		"--control", p.addr(platformNetwork, 2, fabricControlPort).String(), "--seed", strconv.FormatUint(d.cfg.Seed, 10))
+	for _, s := range p.Services {
+		d.fabric.args = append(d.fabric.args, "--service", p.ServiceAddr(s).String())
+	}
+	if err := errors.Join(d.platform.start(), d.fabric.start()); err != nil {
+		return err
+	}
+	return errors.Join(
+		d.poll(ctx, d.platform, func() error { return call(ctx, http.MethodGet, d.storeURL()+platform.ControlPath, nil, nil) }),
+		d.poll(ctx, d.fabric, func() error { return call(ctx, http.MethodGet, d.fabricURL()+"/knobs", nil, nil) }),
+	)
+}
+
+// AddBalancer starts one more balancer and lets the fabric spray to it.
+func (d *Deployment) AddBalancer(ctx context.Context) (*BalancerHost, error) {
+	d.mu.Lock()
+	n := len(d.balancers) + 1
+	d.mu.Unlock()
+	if n > maxBalancers {
+		return nil, errkind.New(errkind.Overloaded, "too many balancers", fmt.Sprintf("use at most %d", maxBalancers))
+	}
+	p := d.cfg.Place
+	name := fmt.Sprintf("balancer-%d", n)
+	dataCentre := p.dataCentre(n - 1)
+	listen, admin := p.addr(balancerNetwork, n, fabricListenPort), p.addr(balancerNetwork, n, adminPort)
+	config, err := d.fleet.Balancer(dataCentre, p.addr(balancerNetwork, n, memberPort), listen, admin)
+	if err != nil {
+		return nil, err
+	}
+	file, err := d.writeSettings(name, config)
+	if err != nil {
+		return nil, err
+	}
+	b := &BalancerHost{Process: d.newProcess(name, Balancer, d.cfg.Binary, "balancer", file), FabricListen: listen, admin: admin}
+	b.DataCentre = dataCentre
+	if err := b.start(); err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	d.balancers = append(d.balancers, b)
+	d.mu.Unlock()
+	return b, d.SprayTo(ctx, d.runningBalancers())
+}
+
+// Balancers returns all balancers, those that have ended included.
+func (d *Deployment) Balancers() []*BalancerHost {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.balancers)
+}
+
+func (d *Deployment) runningBalancers() []*BalancerHost {
+	return slices.DeleteFunc(d.Balancers(), func(b *BalancerHost) bool { return !b.Running() })
+}
+
+func (d *Deployment) writeSettings(name string, config any) (string, error) {
+	text, err := json.MarshalIndent(config, "", "  ")
+	if err != nil {
+		return "", err
+	}
+	file := filepath.Join(d.cfg.Dir, name+".json")
+	return file, os.WriteFile(file, text, secretFileMode)
+}
+
+func (d *Deployment) startHosts() error {
+	number := 0
+	for _, s := range d.cfg.Place.Services {
+		for i := range s.Hosts {
+			number++
+			h, err := d.newHost(s, number, d.cfg.Place.dataCentre(i))
+			if err != nil {
+				return err
+			}
+			d.Hosts = append(d.Hosts, h)
+			if err := errors.Join(h.Backend.start(), h.Agent.start()); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) newHost(s ServicePlan, number int, dataCentre string) (*Host, error) {
+	p := d.cfg.Place
+	agentName, backendName := fmt.Sprintf("agent-%d", number), fmt.Sprintf("backend-%d", number)
+	addr, announce := p.addr(agentNetwork, number, memberPort), p.addr(agentNetwork, number, announcePort)
+	admin := p.addr(agentNetwork, number, adminPort)
+	config, err := d.fleet.Agent(dataCentre, addr, announce, admin)
+	if err != nil {
+		return nil, err
+	}
+	config.Capacity = s.Slots
+	file, err := d.writeSettings(agentName, config)
+	if err != nil {
+		return nil, err
+	}
+	control := p.loopback(backendControlPort, number).String()
+	ledger := filepath.Join(d.cfg.Dir, backendName+".ledger")
+	h := &Host{
+		Agent: d.newProcess(agentName, Agent, d.cfg.Binary, "agent", file),
+		Backend: d.newProcess(backendName, Backend, d.cfg.Lab, "standin", "backend",
+			"--listen", p.loopback(backendPort, number).String(), "--control", control,
+			"--service", s.Name, "--name", backendName, "--capacity", strconv.Itoa(s.Slots),
+			"--agent", "http://"+announce.String(), "--ledger", ledger),
+		Service:   s.Name,
+		AgentAddr: addr,
+		control:   "http://" + control,
+		admin:     admin,
+		ledger:    ledger,
+	}
+	for _, process := range []*Process{h.Agent, h.Backend} {
+		process.DataCentre = dataCentre
+		process.Service = s.Name
+	}
+	return h, nil
+}
+
+// poll repeats check until it succeeds, the process ends or the time is over.
+func (d *Deployment) poll(ctx context.Context, p *Process, check func() error) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for {
+		err := check()
+		if err == nil {
+			return nil
+		}
+		if !p.Running() {
+			return errkind.Wrap(err, errkind.Unavailable, p.Name+" ended", "read "+filepath.Base(p.log)+" in the folder of the run")
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errkind.Wrap(err, errkind.Unavailable, p.Name+" is not ready", "read "+filepath.Base(p.log)+" in the folder of the run")
+		}
+	}
+}
+
+// Start starts a process again that has ended.
+func (d *Deployment) Start(p *Process) error { return p.start() }
+
+// Stop ends all processes of the deployment at once.
+func (d *Deployment) Stop() {
+	all := []*Process{d.fabric, d.platform}
+	for _, b := range d.Balancers() {
+		all = append(all, b.Process)
+	}
+	for _, h := range d.Hosts {
+		all = append(all, h.Agent, h.Backend)
+	}
+	for _, p := range all {
+		if p != nil {
+			// A stopped process is killed as well.
+			_ = p.Kill()
+		}
+	}
+}
+
+// Change submits a ticket with the new states of all services.
+func (d *Deployment) Change(ctx context.Context, change func([]*service.Spec)) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tickets++
+	t := ticket.Ticket{ID: fmt.Sprintf("%s-%d-%d", d.cfg.Place.Name, os.Getpid(), d.tickets), Submitter: "lab"}
+	var specs []*service.Spec
+	for _, s := range d.cfg.Place.Services {
+		spec := d.specs[s.Name]
+		spec.Draining = slices.Clone(spec.Draining)
+		specs = append(specs, &spec)
+	}
+	change(specs)
+	for _, spec := range specs {
+		t.Services = append(t.Services, *spec)
+	}
+	submitter := ticket.Submitter{Store: d.store}
+	if _, err := submitter.Submit(ctx, t); err != nil {
+		return err
+	}
+	for _, spec := range specs {
+		d.specs[spec.Name] = *spec
+	}
+	return nil
+}
+
+// SetDraining submits a ticket that drains a host, or takes it back.
+func (d *Deployment) SetDraining(ctx context.Context, h *Host, draining bool) error {
+	return d.Change(ctx, func(specs []*service.Spec) {
+		for _, spec := range specs {
+			if spec.Name != h.Service {
+				continue
+			}
+			spec.Draining = slices.DeleteFunc(spec.Draining, func(a netip.AddrPort) bool { return a == h.AgentAddr })
+			if draining {
+				spec.Draining = append(spec.Draining, h.AgentAddr)
+			}
+		}
+	})
+}
+
+// SprayTo makes the fabric spray to these balancers.
+func (d *Deployment) SprayTo(ctx context.Context, balancers []*BalancerHost) error {
+	return d.SetFabric(ctx, func(k *fabric.Knobs) {
+		k.Balancers = nil
+		for _, b := range balancers {
+			k.Balancers = append(k.Balancers, fabric.Balancer{Addr: b.FabricListen, DataCentre: b.DataCentre})
+		}
+		k.JitterMillis = fabricJitter
+		k.DelayMillis = make(map[string]float64)
+		for _, name := range d.cfg.Place.DataCentres {
+			k.DelayMillis[name] = float64(d.cfg.Place.CallerDelay) / float64(time.Millisecond)
+		}
+	})
+}
+
+// SetFabric changes the knobs of the fabric.
+func (d *Deployment) SetFabric(ctx context.Context, change func(*fabric.Knobs)) error {
+	var k fabric.Knobs
+	if err := call(ctx, http.MethodGet, d.fabricURL()+"/knobs", nil, &k); err != nil {
+		return err
+	}
+	change(&k)
+	return call(ctx, http.MethodPut, d.fabricURL()+"/knobs", k, nil)
+}
+
+// ControlPlatform changes the platform's store.
+func (d *Deployment) ControlPlatform(ctx context.Context, control platform.Control) error {
+	return call(ctx, http.MethodPost, d.storeURL()+platform.ControlPath, control, nil)
+}
+
+// SetBackend replaces the knobs of a backend server.
+func (d *Deployment) SetBackend(ctx context.Context, h *Host, k backend.Knobs) error {
+	return call(ctx, http.MethodPut, h.control+"/knobs", k, nil)
+}
+
+// BackendLoad returns what a backend server counted.
+func (d *Deployment) BackendLoad(ctx context.Context, h *Host) (backend.Load, error) {
+	var l backend.Load
+	err := call(ctx, http.MethodGet, h.control+"/load", nil, &l)
+	return l, err
+}
+
+// Ledgers returns the ledger files of all backend servers.
+func (d *Deployment) Ledgers() []string {
+	var paths []string
+	for _, h := range d.Hosts {
+		paths = append(paths, h.ledger)
+	}
+	return paths
+}
+
+// Metrics returns the metrics endpoints of balancers and agents.
+func (d *Deployment) Metrics() []load.MetricsSource {
+	var sources []load.MetricsSource
+	add := func(role Role, admin netip.AddrPort) {
+		sources = append(sources, load.MetricsSource{
+			Role: string(role), URL: "http://" + admin.String() + "/metrics", Token: d.fleet.AdminToken,
+		})
+	}
+	for _, b := range d.Balancers() {
+		add(Balancer, b.admin)
+	}
+	for _, h := range d.Hosts {
+		add(Agent, h.admin)
+	}
+	return sources
+}
+
+// TLS returns the certificates that callers trust.
+func (d *Deployment) TLS() *tls.Config {
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM([]byte(d.fleet.CallerCA()))
+	return &tls.Config{RootCAs: pool}
+}
+
+// Targets returns the services as targets of load.
+func (d *Deployment) Targets(mix load.Mix) []load.Target {
+	var targets []load.Target
+	for _, s := range d.cfg.Place.Services {
+		targets = append(targets, load.Target{
+			Name: s.Name, Address: d.cfg.Place.ServiceAddr(s), ServerName: localfleet.CallerHost, Servers: s.Hosts, Mix: mix,
+		})
+	}
+	return targets
+}
+
+// Freeze and Thaw stop and continue a process.
+func Freeze(p *Process) error { return p.Signal(syscall.SIGSTOP) }
+
+// Thaw continues a process that Freeze stopped.
+func Thaw(p *Process) error { return p.Signal(syscall.SIGCONT) }
