Settings: the stream address defaults to the address, and a balancer keeps it

Cause: an agent started from the example settings never found its service: it looks for a balancer's TCP address at the UDP address of its peers, and the examples gave another port.

--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -123,7 +123,11 @@
 	}
 }
 
+// resolve fills in what depends on other fields and on files.
 func (c *Common) resolve(dir string) error {
+	if !c.Stream.IsValid() {
+		c.Stream = c.Address
+	}
 	return c.TLS.resolve("tls", dir)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -45,7 +45,9 @@
 	// Address is the UDP address (IPv4:port) of envelopes and control datagrams.
 	// It identifies the process to its peers. Required.
 	Address netip.AddrPort `json:"address"`
-	// Stream is the TCP address (IP:port) of state transfer and relayed requests. Required.
+	// Stream is the TCP address (IP:port) of state transfer and relayed requests.
+	// Default: the same IP and port as Address, which a balancer must keep, because
+	// processes that contact it first know its Address only.
 	Stream netip.AddrPort `json:"stream"`
 	// Admin is the TCP address of metrics, health and the administration API.
 	// Default: 127.0.0.1:7080. An address that is not loopback is served over TLS only.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -40,6 +40,10 @@
 	if err := validateAddress("fabricAddress", b.FabricAddress); err != nil {
 		return err
 	}
+	if b.Stream != b.Address {
+		return invalid("stream", fmt.Sprintf("is %v, and address is %v", b.Stream, b.Address),
+			"leave it out; agents look for the TCP address of a balancer at its address")
+	}
 	if b.FabricListen == b.Address {
 		return invalid("fabricListen", "is the same as address", "give the packets of the fabric a UDP port of their own")
 	}
