--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -40,6 +40,10 @@
 	if err := validateAddress("fabricAddress", b.FabricAddress); err != nil {
 		return err
 	}
+	if b.Stream != b.Address {
+		return invalid("stream", fmt.Sprintf("is %v, and address is %v", b.Stream, b.Address),
+			"leave it out; agents look for the TCP address of a balancer at its address")
+	}
 	if b.FabricListen == b.Address {
 		return invalid("fabricListen", "is the same as address", "give the packets of the fabric a UDP port of their own")
 	}
@@ -76,6 +80,9 @@
 		if !a.Announce.Addr().IsLoopback() {
 			return invalid("announce", fmt.Sprintf("is %v", a.Announce), "use a loopback address, such as 127.0.0.1:7090")
 		}
+		if a.Announce == a.Admin || a.Announce == a.Stream {
+			return invalid("announce", "is the same as admin or stream", "give each a port of its own")
+		}
 	}
 	if a.ServiceName == "" && !announced {
 		return missing("serviceName", "name the service, or set announce so that the backend server can")
