Key rotation and certificates: all derived values follow the keys in force

Read further: two agents with different seeds would each insist on their claim and answer each other without end. Ruled out: a seed in the settings (one more secret to rotate). Change: the seed follows the current key; claims are ordered without a secret; agents note the use of key versions; reload replaces certificates too; metrics of keys, certificates and refused streams.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -28,6 +28,7 @@
 	"github.com/almondledge/almondledge/internal/controlplane"
 	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/gateway"
+	"github.com/almondledge/almondledge/internal/logging"
 	"github.com/almondledge/almondledge/internal/member"
 	"github.com/almondledge/almondledge/internal/network"
 	"github.com/almondledge/almondledge/internal/opening"
@@ -42,6 +43,8 @@
 const (
 	// linkWorkers is the number of goroutines that receive envelopes.
 	linkWorkers = 2
+	// refusalLogInterval is the least time between two log lines about refused streams.
+	refusalLogInterval = 10 * time.Second
 	// lifecyclePeriod is how often the agent reviews its own state.
 	lifecyclePeriod = 200 * time.Millisecond
 )
@@ -72,6 +75,8 @@
 	link     *link
 	streams  *stream.Server
 
+	callerCertificate atomic.Pointer[tls.Certificate]
+
 	serviceID service.ID
 	// spec is the service in force at this agent.
 	spec     atomic.Pointer[service.Spec]
@@ -111,6 +116,8 @@
 	}
 	a.process = telemetry.New(a.Ready)
 	a.metrics = a.process.Set()
+	keys.Register(a.metrics)
+	identity.Register(a.metrics)
 	return a, nil
 }
 
@@ -138,9 +145,36 @@
 	return a.driver.Catalog().Revision()
 }
 
-// Reload puts the packet keys of new settings in force.
+// Reload puts the packet keys and certificates of new settings in force, for
+// flows and connections that begin from now on.
 func (a *Agent) Reload(config settings.Agent) error {
-	return a.keys.Replace(config.PacketKeys, time.Now())
+	certificate, err := callerCertificate(config)
+	if err != nil {
+		return err
+	}
+	if err := a.keys.Replace(config.PacketKeys, time.Now()); err != nil {
+		return err
+	}
+	pair := pki.Pair{Certificate: config.TLS.Certificate, Key: string(config.TLS.Key)}
+	if err := a.identity.Replace(config.TLS.CA, pair); err != nil {
+		return err
+	}
+	a.callerCertificate.Store(certificate)
+	return nil
+}
+
+// callerCertificate returns the certificate that callers see.
+func callerCertificate(config settings.Agent) (*tls.Certificate, error) {
+	certificate, err := tls.X509KeyPair([]byte(config.CallerTLS.Certificate), []byte(config.CallerTLS.Key))
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.Invalid, "bad callerTLS", "give a certificate and its key as PEM")
+	}
+	return &certificate, nil
+}
+
+// getCertificate returns the certificate for a new flow.
+func (a *Agent) getCertificate(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+	return a.callerCertificate.Load(), nil
 }
 
 // Ready returns nil when the agent takes new flows, or the reason why not.
@@ -212,18 +246,19 @@
 	refused := newRefusals()
 	a.link = &link{
 		self: a.settings.Address, socket: socket, sealer: a.keys.Sealer, opener: a.keys.Opener, codec: a.keys.Codec,
-		conn: conn, metrics: counters, refused: refused, willing: a.willing, handleControl: a.handleControl,
-		openings: opening.NewTable(a.settings.Address, a.keys.FlowSeed),
+		conn: conn, metrics: counters, refused: refused, markKeyUsed: a.keys.MarkUsed, willing: a.willing, handleControl: a.handleControl,
+		openings: opening.NewTable(a.settings.Address),
 	}
-	certificate, err := tls.X509KeyPair([]byte(a.settings.CallerTLS.Certificate), []byte(a.settings.CallerTLS.Key))
+	certificate, err := callerCertificate(a.settings)
 	if err != nil {
-		return errkind.Wrap(err, errkind.Invalid, "bad callerTLS", "give a certificate and its key as PEM")
+		return err
 	}
+	a.callerCertificate.Store(certificate)
 	a.endpoint, err = newEndpoint(endpointConfig{
 		conn: conn, codec: a.keys.Codec, self: a.settings.Address,
 		resetKey: quic.StatelessResetKey(a.keys.StatelessReset()),
 		tokenKey: quic.TokenGeneratorKey(a.keys.AddressToken()),
-		tls:      &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS13},
+		tls:      &tls.Config{GetCertificate: a.getCertificate, MinVersion: tls.VersionTLS13},
 		handler:  a.gateway, refused: refused, metrics: counters,
 	})
 	if err != nil {
@@ -234,6 +269,8 @@
 		Identity: a.identity,
 		Sync:     a.serveSync,
 		Relay:    a.gateway.PeerHandler(),
+		ErrorLog: logging.Standard(a.log, "relay server"),
+		Observer: stream.NewRecorder(a.metrics, logging.NewLimited(a.log, refusalLogInterval)),
 	})
 	return nil
 }
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -25,6 +25,8 @@
 	conn    *packetConn
 	metrics *Metrics
 	refused *refusals
+	// markKeyUsed notes the key version of an established flow.
+	markKeyUsed func(version uint8, now time.Time)
 	// willing reports whether the agent takes new flows now.
 	willing func() bool
 	// handleControl gets the payload of control envelopes; it owns the slice.
@@ -47,25 +49,26 @@
 		if err != nil {
 			return err
 		}
+		now := time.Now()
 		for i := range count {
 			message, err := l.opener.Open(reader.Datagram(i), &candidates)
 			if err != nil {
 				l.metrics.countRefused(err)
 				continue
 			}
-			l.handle(reader.From(i), &message, &scratch)
+			l.handle(now, reader.From(i), &message, &scratch)
 		}
 	}
 }
 
-func (l *link) handle(from netip.AddrPort, message *envelope.Envelope, scratch *connid.Scratch) {
+func (l *link) handle(now time.Time, from netip.AddrPort, message *envelope.Envelope, scratch *connid.Scratch) {
 	switch message.Type {
 	case envelope.Control:
 		l.handleControl(from, append([]byte(nil), message.Payload...))
 	case envelope.Inbound:
-		l.handleInbound(message, scratch)
+		l.handleInbound(now, message, scratch)
 	case envelope.Claim:
-		l.handleClaim(message)
+		l.handleClaim(now, message)
 	case envelope.Outbound:
 		l.metrics.misdirected.Inc()
 	}
@@ -73,7 +76,7 @@
 
 // handleInbound checks that a packet belongs to this agent's service before it
 // goes any further, whoever sent it.
-func (l *link) handleInbound(message *envelope.Envelope, scratch *connid.Scratch) {
+func (l *link) handleInbound(now time.Time, message *envelope.Envelope, scratch *connid.Scratch) {
 	route := l.conn.route.Load()
 	if route == nil || message.Service != route.id {
 		l.metrics.otherService.Inc()
@@ -84,22 +87,23 @@
 		l.metrics.malformed.Inc()
 		return
 	}
-	owner, _, err := l.codec.Decode(header.DestID, scratch)
+	owner, version, err := l.codec.Decode(header.DestID, scratch)
 	switch {
 	case err == nil && owner.Service != route.id:
 		l.metrics.otherService.Inc()
 	case err == nil && owner.Agent != l.self:
 		l.metrics.misdirected.Inc()
 	case err == nil:
+		l.markKeyUsed(version, now)
 		l.conn.deliver(message.Payload, message.Caller)
 	case header.Long:
-		l.handleOpening(message, header.DestID)
+		l.handleOpening(now, message, header.DestID)
 	default:
 		l.metrics.malformed.Inc()
 	}
 }
 
-func (l *link) handleOpening(message *envelope.Envelope, destID []byte) {
+func (l *link) handleOpening(now time.Time, message *envelope.Envelope, destID []byte) {
 	packet := opening.Packet{
 		DestID:     destID,
 		Hops:       message.Hops,
@@ -110,11 +114,11 @@
 	}
 	willing := l.willing()
 	l.mu.Lock()
-	fate, sends := l.openings.HandlePacket(time.Now(), packet, willing)
+	fate, sends := l.openings.HandlePacket(now, packet, willing)
 	l.mu.Unlock()
 	l.metrics.countFate(fate)
 	if fate == opening.Refuse || message.OverLimit {
-		l.refused.add(message.Caller, time.Now())
+		l.refused.add(message.Caller, now)
 	}
 	if fate == opening.Deliver || fate == opening.Refuse {
 		l.conn.deliver(message.Payload, message.Caller)
@@ -122,7 +126,7 @@
 	l.sendAll(message, sends)
 }
 
-func (l *link) handleClaim(message *envelope.Envelope) {
+func (l *link) handleClaim(now time.Time, message *envelope.Envelope) {
 	route := l.conn.route.Load()
 	if route == nil || message.Service != route.id {
 		l.metrics.otherService.Inc()
@@ -133,7 +137,7 @@
 		return
 	}
 	l.mu.Lock()
-	sends := l.openings.HandleClaim(time.Now(), message.Payload, message.Candidates[0])
+	sends := l.openings.HandleClaim(now, message.Payload, message.Candidates[0])
 	l.mu.Unlock()
 	l.sendAll(message, sends)
 }
--- a/internal/agent/link_test.go
+++ b/internal/agent/link_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
@@ -32,7 +33,7 @@
 	conn.route.Store(&serviceRoute{id: 1, front: frontAddr})
 	return &link{
 		self: selfAddr, codec: codec, conn: conn, metrics: counters, refused: newRefusals(),
-		willing: func() bool { return true }, openings: opening.NewTable(selfAddr, 1),
+		markKeyUsed: func(uint8, time.Time) {}, willing: func() bool { return true }, openings: opening.NewTable(selfAddr),
 	}
 }
 
@@ -74,7 +75,7 @@
 			if c.service != 1 {
 				message.Service++
 			}
-			l.handle(peerAddr, &message, new(connid.Scratch))
+			l.handle(time.Now(), peerAddr, &message, new(connid.Scratch))
 			is.Equal(len(l.conn.queue), c.delivered)
 			for len(l.conn.queue) > 0 {
 				<-l.conn.queue
@@ -89,7 +90,7 @@
 	l.willing = func() bool { return false }
 	opens := append([]byte{0xc0, 0, 0, 0, 1, 8}, "12345678rest"...)
 	message := envelope.Envelope{Type: envelope.Inbound, Service: 1, Caller: callerAddr, Front: frontAddr, Payload: opens}
-	l.handle(peerAddr, &message, new(connid.Scratch))
+	l.handle(time.Now(), peerAddr, &message, new(connid.Scratch))
 	is.Equal(len(l.conn.queue), 1) // the endpoint answers with a refusal at once
 	end := &endpoint{refused: l.refused, metrics: l.metrics}
 	_, err := end.admitFlow(t.Context(), clientInfo(callerAddr))
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -20,6 +20,7 @@
 	"github.com/almondledge/almondledge/internal/controlplane"
 	"github.com/almondledge/almondledge/internal/envelope"
 	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/logging"
 	"github.com/almondledge/almondledge/internal/member"
 	"github.com/almondledge/almondledge/internal/network"
 	"github.com/almondledge/almondledge/internal/packetkeys"
@@ -38,6 +39,8 @@
 	forwardWorkers = 2
 	// tablePause is the least time between two new routing tables.
 	tablePause = 20 * time.Millisecond
+	// refusalLogInterval is the least time between two log lines about refused streams.
+	refusalLogInterval = 10 * time.Second
 	// quietTime is how long no packet may arrive before a stopping balancer leaves.
 	quietTime = time.Second
 	// maxLeaveTime bounds the wait for quiet.
@@ -98,6 +101,8 @@
 	}
 	b.telemetry = telemetry.New(b.Ready)
 	b.metrics = NewMetrics(b.telemetry.Set())
+	keys.Register(b.telemetry.Set())
+	identity.Register(b.telemetry.Set())
 	b.store, err = etcd.New(etcd.Config{
 		Endpoints: config.Store.Endpoints, Transport: options.StoreTransport, Metrics: b.telemetry.Set(),
 	})
@@ -105,7 +110,11 @@
 		return nil, err
 	}
 	b.driver = b.newDriver()
-	b.streams = stream.NewServer(stream.Options{Identity: identity, Sync: b.serveSync})
+	b.streams = stream.NewServer(stream.Options{
+		Identity: identity,
+		Sync:     b.serveSync,
+		Observer: stream.NewRecorder(b.telemetry.Set(), logging.NewLimited(b.log, refusalLogInterval)),
+	})
 	return b, b.bind()
 }
 
@@ -152,9 +161,14 @@
 	return b.store
 }
 
-// Reload puts the packet keys of new settings in force.
+// Reload puts the packet keys and certificates of new settings in force, for
+// connections that begin from now on.
 func (b *Balancer) Reload(config settings.Balancer) error {
-	return b.keys.Replace(config.PacketKeys, time.Now())
+	if err := b.keys.Replace(config.PacketKeys, time.Now()); err != nil {
+		return err
+	}
+	pair := pki.Pair{Certificate: config.TLS.Certificate, Key: string(config.TLS.Key)}
+	return b.identity.Replace(config.TLS.CA, pair)
 }
 
 // Ready returns nil when the balancer can route, or the reason why not.
--- a/internal/balancer/forwarder.go
+++ b/internal/balancer/forwarder.go
@@ -33,8 +33,8 @@
 	// Sealer and Opener protect envelopes.
 	Sealer *envelope.Sealer
 	Opener *envelope.Opener
-	// FlowSeed is the fleet's secret seed of flow hashes.
-	FlowSeed uint64
+	// FlowSeed returns the fleet's secret seed of flow hashes.
+	FlowSeed func() uint64
 	// Workers is the number of goroutines for each direction.
 	Workers int
 	// HandleControl gets the payload of control envelopes; it owns the slice.
--- a/internal/balancer/forwarder_test.go
+++ b/internal/balancer/forwarder_test.go
@@ -59,7 +59,7 @@
 	fabric, agent, in, link := listen(t), listen(t), listen(t), listen(t)
 	forwarder := NewForwarder(ForwarderConfig{
 		Fabric: in, FabricAddr: fabric.LocalAddr(), Link: link, Codec: codec, Sealer: sealer, Opener: opener,
-		Workers: 1, HandleControl: func(netip.AddrPort, []byte) {},
+		FlowSeed: func() uint64 { return 1 }, Workers: 1, HandleControl: func(netip.AddrPort, []byte) {},
 		Metrics: NewMetrics(metrics.NewSet()),
 	})
 	forwarder.SetTable(routing.NewTable([]routing.Service{{ID: 1, Addr: bookingAddr}, {ID: 2, Addr: bulletinAddr}}), nil)
--- a/internal/lab/forward/forward.go
+++ b/internal/lab/forward/forward.go
@@ -216,6 +216,7 @@
 	}
 	forwarder := balancer.NewForwarder(balancer.ForwarderConfig{
 		Fabric: in, FabricAddr: front, Link: out, Codec: codec, Sealer: sealer, Opener: opener, Workers: 1,
+		FlowSeed:      func() uint64 { return 1 },
 		HandleControl: func(netip.AddrPort, []byte) {},
 		Metrics:       balancer.NewMetrics(metrics.NewSet()),
 	})
--- a/internal/opening/opening.go
+++ b/internal/opening/opening.go
@@ -68,7 +68,6 @@
 // Table remembers the opening flows of one agent. It is not safe for concurrent use.
 type Table struct {
 	self  netip.AddrPort
-	seed  uint64
 	flows map[string]*flow
 	// order holds the keys of flows, oldest first.
 	order []orderEntry
@@ -84,10 +83,9 @@
 	copies []Packet
 }
 
-// NewTable returns the table of the agent at self; seed is the fleet's secret
-// seed of flow hashes.
-func NewTable(self netip.AddrPort, seed uint64) *Table {
-	return &Table{self: self, seed: seed, flows: make(map[string]*flow)}
+// NewTable returns the table of the agent at self.
+func NewTable(self netip.AddrPort) *Table {
+	return &Table{self: self, flows: make(map[string]*flow)}
 }
 
 // Len returns the number of remembered flows.
@@ -168,9 +166,14 @@
 	return Passed, []Send{{To: to, Packet: packet}}
 }
 
+// rankSeed is the seed of the order of two claims. It is no secret and never
+// changes, because agents that ordered them differently would each insist on
+// their own claim for ever.
+const rankSeed = 0
+
 // rank orders two agents by their score for a flow; all agents agree on it.
 func (t *Table) rank(destID []byte, a, b netip.AddrPort) (winner, loser netip.AddrPort) {
-	hash := routing.FlowHash(t.seed, destID)
+	hash := routing.FlowHash(rankSeed, destID)
 	if routing.Score(hash, a, 1) >= routing.Score(hash, b, 1) {
 		return a, b
 	}
--- a/internal/opening/opening_test.go
+++ b/internal/opening/opening_test.go
@@ -48,7 +48,7 @@
 		delivered: make(map[netip.AddrPort]map[string]bool),
 	}
 	for _, agent := range agents {
-		n.tables[agent] = NewTable(agent, 99)
+		n.tables[agent] = NewTable(agent)
 		n.delivered[agent] = make(map[string]bool)
 	}
 	return n
@@ -179,7 +179,7 @@
 
 func TestTableIsBounded(t *testing.T) {
 	is := is.New(t)
-	table := NewTable(agentA, 1)
+	table := NewTable(agentA)
 	for i := range MaxFlows + 100 {
 		id := []byte{byte(i >> 16), byte(i >> 8), byte(i)}
 		table.HandlePacket(start, Packet{DestID: id, Payload: []byte("x")}, true)
--- a/internal/packetkeys/packetkeys.go
+++ b/internal/packetkeys/packetkeys.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/almondledge/almondledge/internal/connid"
 	"github.com/almondledge/almondledge/internal/envelope"
 	"github.com/almondledge/almondledge/internal/idempotency"
@@ -27,10 +29,9 @@
 	// Sealer and Opener protect envelopes.
 	Sealer *envelope.Sealer
 	Opener *envelope.Opener
-	// FlowSeed is the fleet's secret seed of flow hashes. It stays as it was at the start.
-	FlowSeed uint64
 
 	ring        *keyring.Ring
+	flowSeed    atomic.Uint64
 	idempotency atomic.Pointer[idempotency.Keyring]
 }
 
@@ -40,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	set := &Set{ring: ring, FlowSeed: flowSeed(ring.Versions()[0])}
+	set := &Set{ring: ring}
 	if set.Codec, err = connid.NewCodec(connectionIDKeys(ring)); err != nil {
 		return nil, err
 	}
@@ -50,7 +51,7 @@
 	if set.Opener, err = envelope.NewOpener(envelopeKeys(ring)); err != nil {
 		return nil, err
 	}
-	return set, set.replaceIdempotency()
+	return set, set.replaceDerived()
 }
 
 // Replace puts the keys of new settings in force, or returns an error and
@@ -68,7 +69,7 @@
 	if err := s.Sealer.Replace(envelopeKeys(s.ring)[0]); err != nil {
 		return err
 	}
-	return s.replaceIdempotency()
+	return s.replaceDerived()
 }
 
 // MarkUsed notes that a flow's connection ID was issued under a key version.
@@ -78,6 +79,18 @@
 	}
 }
 
+// FlowSeed returns the fleet's secret seed of flow hashes. It follows the current
+// key, so while a rotation spreads two balancers may rank the agents of an
+// opening flow differently; the agents then bring its packets together.
+func (s *Set) FlowSeed() uint64 {
+	return s.flowSeed.Load()
+}
+
+// Register adds metrics of the key versions to set.
+func (s *Set) Register(set *metrics.Set) {
+	s.ring.Register(set)
+}
+
 // Idempotency returns the keys that seal idempotency keys.
 func (s *Set) Idempotency() *idempotency.Keyring {
 	return s.idempotency.Load()
@@ -94,7 +107,8 @@
 	return s.ring.Versions()[0].AddressToken
 }
 
-func (s *Set) replaceIdempotency() error {
+func (s *Set) replaceDerived() error {
+	s.flowSeed.Store(flowSeed(s.ring.Current()))
 	secrets := make(map[uint8][]byte)
 	for _, keys := range s.ring.Versions() {
 		secrets[keys.Version] = keys.IdempotencyKey[:]
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -59,12 +59,12 @@
 // the codec and the table may be shared.
 type Router struct {
 	codec   *connid.Codec
-	seed    uint64
+	seed    func() uint64
 	scratch connid.Scratch
 }
 
-// NewRouter returns a router; seed is the fleet's secret seed of flow hashes.
-func NewRouter(codec *connid.Codec, seed uint64) *Router {
+// NewRouter returns a router; seed returns the fleet's secret seed of flow hashes.
+func NewRouter(codec *connid.Codec, seed func() uint64) *Router {
 	return &Router{codec: codec, seed: seed}
 }
 
@@ -111,7 +111,7 @@
 		decision.Verdict = DropRemoved
 		return
 	}
-	decision.Count = target.Candidates(FlowHash(r.seed, destID), &decision.Chosen)
+	decision.Count = target.Candidates(FlowHash(r.seed(), destID), &decision.Chosen)
 	if decision.Count == 0 {
 		decision.Verdict = DropNoAgent
 		return
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -90,7 +90,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			var decision Decision
-			NewRouter(codec, 1).Route(c.table, c.front, c.packet, &decision)
+			NewRouter(codec, func() uint64 { return 1 }).Route(c.table, c.front, c.packet, &decision)
 			is.Equal(decision.Verdict, c.want)
 			if c.want == ToOwner {
 				is.Equal(decision.Chosen[0], owner.Agent)
@@ -103,7 +103,7 @@
 func TestOpeningNeverCrossesServices(t *testing.T) {
 	is := is.New(t)
 	codec := testCodec(t)
-	router := NewRouter(codec, 7)
+	router := NewRouter(codec, func() uint64 { return 7 })
 	random := rand.New(rand.NewPCG(1, 1))
 	var decision Decision
 	for range 10_000 {
@@ -174,7 +174,7 @@
 		fronts[i] = target.Addr
 		packets[i] = shortPacket(b, codec, connid.Target{Agent: target.Agents[0].Addr, Service: target.ID})
 	}
-	router := NewRouter(codec, 1)
+	router := NewRouter(codec, func() uint64 { return 1 })
 	var decision Decision
 	b.ReportAllocs()
 	i := 0
