--- a/cmd/lab/slopes.go
+++ b/cmd/lab/slopes.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"time"
@@ -46,10 +47,9 @@
 	if c.JSON == "" {
 		return nil
 	}
-	file, err := os.Create(c.JSON)
-	if err != nil {
+	var report bytes.Buffer
+	if err := slopes.WriteJSON(&report, points, fits); err != nil {
 		return err
 	}
-	defer file.Close()
-	return slopes.WriteJSON(file, points, fits)
+	return os.WriteFile(c.JSON, report.Bytes(), 0o644)
 }
--- a/internal/lab/slopes/report.go
+++ b/internal/lab/slopes/report.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"io"
 	"math"
+	"strings"
 	"text/tabwriter"
+
+	"github.com/almondledge/almondledge/internal/control"
 )
 
 // Fit is a straight line through the points of one measure.
@@ -67,30 +70,52 @@
 // WriteTable prints the points and fits for people.
 func WriteTable(w io.Writer, points []Point, fits []Fit) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "nodes\tbalancers\tb.sent B/s\tb.most\tb.recv\tb.stream\tb.cpu %\ta.sent B/s\ta.cpu %\tticket s (max)\tdrain s (max)\tdeath s (max)\twatchers\theap B/node\tfalse susp.\tlate\t")
-	for _, p := range points {
-		fmt.Fprintf(t, "%d\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.3f\t%.0f\t%.4f\t%s\t%s\t%s\t%d\t%.0f\t%d\t%d\t\n",
-			p.Nodes, p.Balancers, p.Balancer.TotalSent, p.Balancer.MostSent, p.Balancer.Received, p.Balancer.StreamSent,
-			p.Balancer.CPU, p.Agent.TotalSent, p.Agent.CPU, p.Ticket, p.Drain, p.Death, p.Watchers,
-			p.BytesOfHeap, p.FalseSuspicions, p.Ticket.Late+p.Drain.Late+p.Death.Late)
+	if _, err := io.WriteString(t, pointRows(points)); err != nil {
+		return err
 	}
 	if err := t.Flush(); err != nil {
 		return err
 	}
 	t = tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "\nbalancer bytes/s by class:")
+	if _, err := io.WriteString(t, classRows(points)+fitRows(fits)); err != nil {
+		return err
+	}
+	return t.Flush()
+}
+
+func pointRows(points []Point) string {
+	var b strings.Builder
+	b.WriteString("nodes\tbalancers\tb.sent B/s\tb.most\tb.recv\tb.stream\tb.cpu %\ta.sent B/s\ta.cpu %\t" +
+		"ticket s (max)\tdrain s (max)\tdeath s (max)\twatchers\theap B/node\tfalse susp.\tlate\t\n")
 	for _, p := range points {
-		fmt.Fprintf(t, "%d nodes", p.Nodes)
-		for _, class := range []string{"probe", "heartbeat", "urgent", "ticket", "member", "load"} {
-			fmt.Fprintf(t, "\t%s %.0f", class, p.Balancer.SentBytes[class])
+		fmt.Fprintf(&b, "%d\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.3f\t%.0f\t%.4f\t%s\t%s\t%s\t%d\t%.0f\t%d\t%d\t\n",
+			p.Nodes, p.Balancers, p.Balancer.TotalSent, p.Balancer.MostSent, p.Balancer.Received, p.Balancer.StreamSent,
+			p.Balancer.CPU, p.Agent.TotalSent, p.Agent.CPU, p.Ticket, p.Drain, p.Death, p.Watchers,
+			p.BytesOfHeap, p.FalseSuspicions, p.Ticket.Late+p.Drain.Late+p.Death.Late)
+	}
+	return b.String()
+}
+
+func classRows(points []Point) string {
+	var b strings.Builder
+	b.WriteString("\nbalancer bytes/s by class:\n")
+	for _, p := range points {
+		fmt.Fprintf(&b, "%d nodes", p.Nodes)
+		for class := range control.Classes {
+			fmt.Fprintf(&b, "\t%v %.0f", class, p.Balancer.SentBytes[class.String()])
 		}
-		fmt.Fprintln(t)
+		b.WriteString("\n")
 	}
-	fmt.Fprintln(t, "\nslopes:")
+	return b.String()
+}
+
+func fitRows(fits []Fit) string {
+	var b strings.Builder
+	b.WriteString("\nslopes:\n")
 	for _, f := range fits {
-		fmt.Fprintf(t, "%s\t= %.4g + %.4g * %s\n", f.Measure, f.Intercept, f.Slope, f.X)
+		fmt.Fprintf(&b, "%s\t= %.4g + %.4g * %s\n", f.Measure, f.Intercept, f.Slope, f.X)
 	}
-	return t.Flush()
+	return b.String()
 }
 
 // String returns median and maximum in seconds.
