lab faults: faults in real processes under load, with verdicts

Cause: promises must be judged against separate processes under kills, freezes, stops, cuts, store faults and tickets, not only on a fake clock. Tries that are followed by another one are counted too.

--- a/internal/lab/caller/flow.go
+++ b/internal/lab/caller/flow.go
@@ -153,12 +153,7 @@
 	f.mu.Lock()
 	c := f.current
 	f.mu.Unlock()
-	if c == nil {
-		return ""
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.agent
+	return c.lastAgent()
 }
 
 // Close ends the flow; this is neither a break nor a graceful end.
@@ -278,7 +273,7 @@
 		}
 		c.finish("")
 		if !isNotSent(err) {
-			return nil, nil, err
+			return nil, c, err
 		}
 		f.forget(c)
 		if attempt == 2 || ctx.Err() != nil {
@@ -287,6 +282,16 @@
 	}
 }
 
+// lastAgent returns the agent that answered last, if known. A nil connection has none.
+func (c *connection) lastAgent() string {
+	if c == nil {
+		return ""
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.agent
+}
+
 func (c *connection) begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/lab/caller/request.go
+++ b/internal/lab/caller/request.go
@@ -131,7 +131,7 @@
 func (f *Flow) do(ctx context.Context, r request) Answer {
 	resp, c, err := f.roundTrip(ctx, func() (*http.Request, error) { return f.newRequest(ctx, r) })
 	if err != nil {
-		return Answer{Verdict: failure(ctx, err), Err: err}
+		return Answer{Verdict: failure(ctx, err), Agent: c.lastAgent(), Err: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	a := Answer{
--- a/internal/lab/deploy/deployment.go
+++ b/internal/lab/deploy/deployment.go
@@ -214,6 +214,11 @@
 	return slices.DeleteFunc(d.Balancers(), func(b *BalancerHost) bool { return !b.Running() })
 }
 
+// Without returns the running balancers except b.
+func Without(balancers []*BalancerHost, b *BalancerHost) []*BalancerHost {
+	return slices.DeleteFunc(balancers, func(other *BalancerHost) bool { return other == b || !other.Running() })
+}
+
 func (d *Deployment) writeSettings(name string, config any) (string, error) {
 	text, err := json.MarshalIndent(config, "", "  ")
 	if err != nil {
--- /dev/null
+++ b/internal/lab/faults/report.go
@@ -0,0 +1,111 @@
+package faults
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/almondledge/almondledge/internal/lab/load"
+)
+
+// Report is the result of a fault run.
+type Report struct {
+	// Place is the deployment.
+	Place string `json:"place"`
+	// Seed fixes the choices.
+	Seed uint64 `json:"seed"`
+	// Results are the faults in the order in which they were brought about.
+	Results []Result `json:"results"`
+	// Load is the report of the load that was held meanwhile.
+	Load *load.Report `json:"load"`
+	// Violations are all broken promises.
+	Violations []string `json:"violations"`
+}
+
+// Result is what was counted during one fault and shortly after.
+type Result struct {
+	// Name names the fault, or both of a pair.
+	Name string `json:"name"`
+	// Planned marks a change that operators make on purpose.
+	Planned bool `json:"planned"`
+	// Seconds is how long it took with its end and the time to settle.
+	Seconds float64 `json:"seconds"`
+	// Answered, NotRun, NotSent, Unknown, TimedOut and Failed count requests.
+	Answered int `json:"answered"`
+	NotRun   int `json:"notRun"`
+	NotSent  int `json:"notSent"`
+	Unknown  int `json:"unknown"`
+	TimedOut int `json:"timedOut"`
+	Failed   int `json:"failed"`
+	// Moved counts connections that ended gracefully.
+	Moved int `json:"moved"`
+	// FlowsBroken counts broken flows, except those that the fault allows.
+	FlowsBroken int `json:"flowsBroken"`
+	// FlowsBrokenAllowed counts broken flows of processes that were killed.
+	FlowsBrokenAllowed int `json:"flowsBrokenAllowed"`
+	// RequestsCut counts cut requests, except those that the fault allows.
+	RequestsCut int `json:"requestsCut"`
+	// RequestsCutAllowed counts cut requests of processes that were killed.
+	RequestsCutAllowed int `json:"requestsCutAllowed"`
+	// SlowestMs is the longest latency of an answered request in milliseconds.
+	SlowestMs float64 `json:"slowestMs"`
+	// Broken are the broken promises, in words.
+	Broken []string `json:"broken"`
+}
+
+func (r Result) verdict() string {
+	if len(r.Broken) == 0 {
+		return "held"
+	}
+	return "BROKEN: " + strings.Join(r.Broken, "; ")
+}
+
+func (r Result) line() string {
+	return fmt.Sprintf("%-40s %5.1fs answered=%d %s", r.Name, r.Seconds, r.Answered, r.verdict())
+}
+
+// finish collects the broken promises of all faults and of the load.
+func (r *Report) finish() {
+	for _, result := range r.Results {
+		for _, what := range result.Broken {
+			r.Violations = append(r.Violations, result.Name+": "+what)
+		}
+	}
+	r.Violations = append(r.Violations, r.Load.Violations...)
+}
+
+// WriteJSON writes the report to faults.json in dir.
+func (r *Report) WriteJSON(dir string) error {
+	text, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(dir, "faults.json"), append(text, '\n'), 0o644)
+}
+
+// WriteTable writes the summary table.
+func (r *Report) WriteTable(w io.Writer) error {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s, seed %d; numbers in brackets are allowed by the fault\n", r.Place, r.Seed)
+	fmt.Fprintln(&text, "fault\tplanned\tanswered\tflows broken\tmoved\tcut\tnot run\tnot sent\tunknown\ttimed out\tfailed\tslowest ms\tpromises")
+	for _, x := range r.Results {
+		fmt.Fprintf(&text, "%s\t%v\t%d\t%d (%d)\t%d\t%d (%d)\t%d\t%d\t%d\t%d\t%d\t%.0f\t%s\n", x.Name, x.Planned, x.Answered,
+			x.FlowsBroken, x.FlowsBrokenAllowed, x.Moved, x.RequestsCut, x.RequestsCutAllowed,
+			x.NotRun, x.NotSent, x.Unknown, x.TimedOut, x.Failed, x.SlowestMs, x.verdict())
+	}
+	tab := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	if _, err := io.WriteString(tab, text.String()); err != nil {
+		return err
+	}
+	if err := tab.Flush(); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintln(w); err != nil {
+		return err
+	}
+	return r.Load.WriteTable(w)
+}
--- a/internal/lab/load/recorder.go
+++ b/internal/lab/load/recorder.go
@@ -46,6 +46,8 @@
 	windows  []map[string]int // answers of each server in each window
 	broken   int
 	brokenBy map[string]int
+	cutBy    map[string]int
+	slowest  time.Duration // since the last snapshot
 	inUse    int
 	graceful int
 	breaks   []Break
@@ -78,6 +80,7 @@
 		classes:  make(map[Class]*classRecord),
 		servers:  make(map[string]int),
 		brokenBy: make(map[string]int),
+		cutBy:    make(map[string]int),
 	}
 	for _, c := range Classes {
 		r.classes[c] = &classRecord{
@@ -93,20 +96,42 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	record := r.classes[c]
-	record.verdicts[a.Verdict]++
-	record.bytes += a.Bytes
+	r.count(c, now, a)
 	if a.Verdict != caller.Answered {
-		r.sample(c, now, a)
 		return
 	}
+	if c != ClassFeed {
+		r.slowest = max(r.slowest, now.Sub(intended))
+	}
 	micros := min(max(now.Sub(intended).Microseconds(), minLatencyMicros), maxLatencyMicros)
-	_ = record.latency.RecordValue(micros) // within the bounds
+	_ = r.classes[c].latency.RecordValue(micros) // within the bounds
 	if a.Server != "" {
 		r.countServer(now, a.Server)
 	}
 }
 
+// retried counts a try that is followed by another one.
+func (r *recorder) retried(c Class, a caller.Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.count(c, time.Now(), a)
+}
+
+// count counts one try; the caller holds r.mu.
+func (r *recorder) count(c Class, now time.Time, a caller.Answer) {
+	record := r.classes[c]
+	record.verdicts[a.Verdict]++
+	record.bytes += a.Bytes
+	if a.Verdict == caller.Cut {
+		r.cutBy[a.Agent]++
+	}
+	switch a.Verdict {
+	case caller.Answered, caller.KeyNeeded, caller.NotRun, caller.InProgress:
+	default:
+		r.sample(c, now, a)
+	}
+}
+
 func (r *recorder) sample(c Class, now time.Time, a caller.Answer) {
 	if len(r.errors) < maxSamples && a.Err != nil {
 		text := fmt.Sprintf("%.1fs %s %s: %v", now.Sub(r.start).Seconds(), c, a.Verdict, a.Err)
--- a/internal/lab/load/target.go
+++ b/internal/lab/load/target.go
@@ -107,7 +107,7 @@
 	flow, err := caller.NewFlow(t.run.flowConfig(t.target, t.recorder))
 	if err == nil {
 		l := &longFlow{Flow: flow}
-		a := t.tryUntilRun(ctx, func() caller.Answer { return flow.Sheet(ctx, t.nextID("open"), pollBytes, 0) })
+		a := t.tryUntilRun(ctx, ClassOpen, func() caller.Answer { return flow.Sheet(ctx, t.nextID("open"), pollBytes, 0) })
 		t.recorder.record(ClassOpen, intended, a)
 		l.keep(a.Key)
 		if a.Verdict == caller.Answered {
@@ -125,8 +125,8 @@
 }
 
 // tryUntilRun repeats a request that was not run, after the wait that the
-// answer suggests. Only the last answer counts.
-func (t *targetRun) tryUntilRun(ctx context.Context, send func() caller.Answer) caller.Answer {
+// answer suggests. It returns the last answer; earlier tries are counted.
+func (t *targetRun) tryUntilRun(ctx context.Context, c Class, send func() caller.Answer) caller.Answer {
 	for try := 1; ; try++ {
 		a := send()
 		again := a.Verdict == caller.NotRun || a.Verdict == caller.NotSent
@@ -136,6 +136,7 @@
 		if !sleepUntil(ctx, time.Now().Add(max(a.RetryAfter, tryAgainWait))) {
 			return a
 		}
+		t.recorder.retried(c, a)
 	}
 }
 
@@ -183,7 +184,7 @@
 	for intended := first; sleepUntil(ctx, intended); intended = intended.Add(t.target.Mix.PollInterval) {
 		rctx, cancel := t.requestContext()
 		id := t.nextID("poll")
-		a := t.tryUntilRun(rctx, func() caller.Answer { return l.Sheet(rctx, id, pollBytes, 0) })
+		a := t.tryUntilRun(rctx, ClassPoll, func() caller.Answer { return l.Sheet(rctx, id, pollBytes, 0) })
 		cancel()
 		l.keep(a.Key)
 		t.recorder.record(ClassPoll, intended, a)
@@ -196,7 +197,7 @@
 		intended := time.Now()
 		rctx, cancel := t.requestContext()
 		id := t.nextID("feed")
-		a := t.tryUntilRun(rctx, func() caller.Answer { return l.Feed(rctx, id, t.target.Mix.FeedLines, t.target.Mix.FeedInterval) })
+		a := t.tryUntilRun(rctx, ClassFeed, func() caller.Answer { return l.Feed(rctx, id, t.target.Mix.FeedLines, t.target.Mix.FeedInterval) })
 		cancel()
 		t.recorder.record(ClassFeed, intended, a)
 		if a.Verdict != caller.Answered {
@@ -216,7 +217,7 @@
 	}
 	defer flow.Close()
 	id := t.nextID("sheet")
-	a := t.tryUntilRun(ctx, func() caller.Answer { return flow.Sheet(ctx, id, t.target.Mix.SheetBytes, 0) })
+	a := t.tryUntilRun(ctx, ClassSheet, func() caller.Answer { return flow.Sheet(ctx, id, t.target.Mix.SheetBytes, 0) })
 	t.recorder.record(ClassSheet, intended, a)
 }
 
@@ -227,7 +228,10 @@
 	defer cancel()
 	b, step := newBooking(t.nextID("book"), l.take())
 	var last caller.Answer
-	for !step.done && sleepUntil(ctx, time.Now().Add(step.wait)) {
+	for sends := 0; !step.done && sleepUntil(ctx, time.Now().Add(step.wait)); sends++ {
+		if sends > 0 {
+			t.recorder.retried(ClassBooking, last)
+		}
 		last = l.Book(ctx, step.attempt, step.key, t.target.Mix.Work)
 		step = b.answer(last)
 		if step.done {
