Drain bound, removed services and crossing, proved on whole processes

Cause: three promises had no proof on the whole path: no new work at a leaving backend server after seconds, running requests of a removed service end, no crossing even when the fabric swaps addresses. Ruled out: reading it off unit tests of the parts. Change: tests of three ways to drain against nine faults, of draining all, of removal, of swapped addresses. (2) The first form of 'drain all' asked that a new request is answered; the agents refuse it at once as not run when their sampled peers refuse, which is said plainly and cuts nothing, so both are accepted.

--- /dev/null
+++ b/internal/faultmatrix/drain_test.go
@@ -0,0 +1,142 @@
+package faultmatrix
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/almondledge/almondledge/internal/lab/caller"
+	"github.com/almondledge/almondledge/internal/service"
+)
+
+const (
+	// drainBound is the time after which a leaving backend server gets no new work.
+	drainBound = 3 * time.Second
+	// probeFlows is the number of new flows that look for a leak.
+	probeFlows = 24
+)
+
+// drainWays are the ways in which a backend server leaves.
+var drainWays = []struct {
+	name  string
+	begin func(c *cell)
+}{
+	{"by ticket", func(c *cell) {
+		c.change("drain", func(spec *service.Spec) { spec.Draining = []netip.AddrPort{agentAddr(c.target)} })
+	}},
+	{"by its own announcement", func(c *cell) { c.stopBackend(c.target) }},
+	{"by stopping its agent", func(c *cell) { c.agentAt[c.target].drain() }},
+}
+
+// drainFaults are the faults that could keep a balancer or an agent from
+// learning of a drain. They strike when it has begun.
+var drainFaults = []string{
+	"none", "balancer killed", "balancer joins", "uneven updates", "store down", "link lossy", "link slow",
+	"data centres cut both ways", "data centres cut one way",
+}
+
+func faultNamed(name string) fault {
+	for _, f := range faults {
+		if f.name == name {
+			return f
+		}
+	}
+	panic("no fault is named " + name)
+}
+
+// TestLeavingBackendServerGetsNoNewWork counts what a leaving backend server
+// serves from new flows and from new requests of an old flow after the bound.
+func TestLeavingBackendServerGetsNoNewWork(t *testing.T) {
+	for i, way := range drainWays {
+		for k, name := range drainFaults {
+			t.Run(way.name+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				run(t, uint64(100*i+k), func(f *fleet) {
+					is := is.NewRelaxed(t)
+					c := &cell{fleet: f, faults: []fault{faultNamed(name)}, target: (i + k) % bookingAgents, bookings: map[string]caller.Answer{}}
+					old, target := c.established()
+					way.begin(c)
+					time.Sleep(50 * time.Millisecond) // the drain is known to somebody
+					c.strike(target)
+					time.Sleep(drainBound)
+					before := f.backends[target].Load().Served
+					c.sheet(old, "new request of an old flow")
+					for range probeFlows {
+						c.sheet(c.open(), "new flow")
+					}
+					is.Equal(f.backends[target].Load().Served, before) // no new work at the leaving backend server
+					time.Sleep(faultSpan)
+					c.verifyAnswers(target)
+					c.verifyFlows(target)
+				})
+			})
+		}
+	}
+}
+
+// TestDrainingAllBackendServersCutsNothing drains every backend server of a
+// service: what runs ends whole, and a new request is answered or told at once
+// that it was not run.
+func TestDrainingAllBackendServersCutsNothing(t *testing.T) {
+	run(t, 1, func(f *fleet) {
+		is := is.NewRelaxed(t)
+		c := &cell{fleet: f, target: 1, bookings: map[string]caller.Answer{}}
+		flow, _ := c.established()
+		wait := c.together(func() { c.feed(flow, "held", 30) })
+		time.Sleep(time.Second)
+		c.change("drain-all", func(spec *service.Spec) {
+			for i := range bookingAgents {
+				spec.Draining = append(spec.Draining, agentAddr(i))
+			}
+		})
+		time.Sleep(drainBound)
+		ctx, cancel := c.bounded()
+		defer cancel()
+		after := flow.Sheet(ctx, "after", sheetSize, 0)
+		is.True(after.Verdict == caller.Answered || after.Verdict == caller.NotRun) // said plainly
+		wait()
+		c.verifyAnswers(1)
+		c.verifyFlows(1)
+	})
+}
+
+// TestRemovedServiceEndsItsRunningRequests removes a service by ticket: a
+// request under way ends, and no new flow begins.
+func TestRemovedServiceEndsItsRunningRequests(t *testing.T) {
+	run(t, 2, func(f *fleet) {
+		is := is.NewRelaxed(t)
+		c := &cell{fleet: f, target: 0, bookings: map[string]caller.Answer{}}
+		flow, _ := c.established()
+		wait := c.together(func() { c.feed(flow, "running", 40) })
+		time.Sleep(time.Second)
+		f.remove(booking)
+		time.Sleep(drainBound)
+		ctx, cancel := c.bounded()
+		defer cancel()
+		late := c.open().Sheet(ctx, "too late", sheetSize, 0)
+		is.True(late.Verdict != caller.Answered) // no new flow to a removed service
+		wait()
+		c.verifyAnswers(0)
+	})
+}
+
+// TestServicesNeverCross sends the packets of one service's flow to the address
+// of the other, and the answers must stay away.
+func TestServicesNeverCross(t *testing.T) {
+	run(t, 3, func(f *fleet) {
+		is := is.NewRelaxed(t)
+		c := &cell{fleet: f, target: 2, bookings: map[string]caller.Answer{}}
+		flow, _ := c.established()
+		other := f.flow(bulletinAddr)
+		is.Equal(other.Sheet(f.ctx, "bulletin", sheetSize, 0).Server, "dalga-bulten/3")
+		f.crossed.Store(true) // from now on the fabric swaps the service addresses
+		bulletinServed := f.backends[3].Load().Served
+		ctx, cancel := c.bounded()
+		defer cancel()
+		crossing := flow.Sheet(ctx, "crossing", sheetSize, 0)
+		is.True(crossing.Verdict != caller.Answered)
+		is.Equal(f.backends[3].Load().Served, bulletinServed) // the bulletin got none of it
+	})
+}
