--- a/internal/faultmatrix/drain_test.go
+++ b/internal/faultmatrix/drain_test.go
@@ -57,6 +57,8 @@
 					is := is.NewRelaxed(t)
 					c := &cell{fleet: f, faults: []fault{faultNamed(name)}, target: (i + k) % bookingAgents, bookings: map[string]caller.Answer{}}
 					old, target := c.established()
+					wait := c.together(func() { c.feed(old, "held", 70) })
+					time.Sleep(time.Second)
 					way.begin(c)
 					time.Sleep(50 * time.Millisecond) // the drain is known to somebody
 					c.strike(target)
@@ -67,7 +69,7 @@
 						c.sheet(c.open(), "new flow")
 					}
 					is.Equal(f.backends[target].Load().Served, before) // no new work at the leaving backend server
-					time.Sleep(faultSpan)
+					wait()
 					c.verifyAnswers(target)
 					c.verifyFlows(target)
 				})
--- a/internal/faultmatrix/faults_test.go
+++ b/internal/faultmatrix/faults_test.go
@@ -44,6 +44,10 @@
 	{name: "balancer joins", strike: func(f *fleet, _ int) { f.joinBalancer() }},
 	{name: "balancer leaves", strike: func(f *fleet, _ int) { f.leaveBalancer(2) }},
 	{name: "agent killed", loses: true, strike: func(f *fleet, target int) { f.agentAt[target].crash() }},
+	{name: "agent killed and replaced", loses: true, strike: func(f *fleet, target int) {
+		f.agentAt[target].crash()
+		f.after(2*time.Second, func() { f.startAgent(target) })
+	}},
 	{name: "agent frozen and woken", loses: true, strike: func(f *fleet, target int) { f.freeze(f.agentAt[target]) }},
 	{name: "agent stopped", strike: func(f *fleet, target int) { f.agentAt[target].drain() }},
 	{name: "backend server crashed", loses: true, strike: func(f *fleet, target int) {
--- a/internal/faultmatrix/matrix_test.go
+++ b/internal/faultmatrix/matrix_test.go
@@ -21,6 +21,8 @@
 	// forceTime is the time in which an accepted ticket must be in force everywhere.
 	forceTime = 16 * time.Second
 	sheetSize = 40_000
+	// bookingWork is how long a booking takes at the backend server.
+	bookingWork = time.Second
 	// uploadSize takes long enough to be caught half way.
 	uploadSize = 600_000
 	// maxReopens bounds how often a caller opens a flow again.
@@ -129,6 +131,30 @@
 	c.note(name, c.bookings[name], false)
 }
 
+// key returns an idempotency key that the agent of a flow issued.
+func (c *cell) key(flow *caller.Flow) string {
+	ctx, cancel := c.bounded()
+	defer cancel()
+	return flow.Sheet(ctx, "for its key", sheetSize, 0).Key
+}
+
+// bookUnder books once under a key that other callers may use at the same time.
+func (c *cell) bookUnder(flow *caller.Flow, name, key string, mayFail bool) {
+	ctx, cancel := c.bounded()
+	defer cancel()
+	answer := flow.Book(ctx, name, key, bookingWork)
+	for answer.Verdict == caller.InProgress {
+		time.Sleep(300 * time.Millisecond)
+		answer = flow.Book(ctx, name, key, bookingWork)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if last, ok := c.bookings[name]; !ok || last.Verdict != caller.Answered {
+		c.bookings[name] = answer
+	}
+	c.answers = append(c.answers, named{name: name, answer: answer, service: booking, mayFail: mayFail})
+}
+
 // verify checks every promise after the step was seen through.
 func (c *cell) verify(target int) {
 	c.t.Helper()
--- a/internal/faultmatrix/steps_test.go
+++ b/internal/faultmatrix/steps_test.go
@@ -59,6 +59,23 @@
 		wait()
 		return target
 	}},
+	{"repeated", func(c *cell) int {
+		flow, target := c.established()
+		key := c.key(flow)
+		var calls []func()
+		for range 3 {
+			other := c.open()
+			calls = append(calls, func() { c.bookUnder(other, "repeated", key, false) })
+		}
+		wait := c.together(calls...)
+		time.Sleep(300 * time.Millisecond)
+		c.strike(target)
+		wait()
+		time.Sleep(5 * time.Second)
+		// When the agent that granted the key has gone, "unknown" is the truth.
+		c.bookUnder(c.open(), "repeated", key, true)
+		return target
+	}},
 	{"body half sent", func(c *cell) int {
 		flow, target := c.established()
 		wait := c.together(func() { c.upload(flow, "sheet") })
