--- a/internal/store/etcd/read.go
+++ b/internal/store/etcd/read.go
@@ -18,6 +18,9 @@
 // at is compacted between two pages.
 const rangeRestarts = 3
 
+// maxRangeEntries bounds what Range returns. Service IDs have 16 bits.
+const maxRangeEntries = 1 << 17
+
 // read sends a call that changes nothing, again and again until it is answered
 // or its time is over.
 func (c *Client) read(ctx context.Context, request call, accept func(answer) error) error {
@@ -91,6 +94,29 @@
 	more     bool
 }
 
+// errOutOfRange is the cause of a callError for an answer with keys that were
+// not asked for or are out of order.
+var errOutOfRange = errors.New("the answer holds keys outside the range or out of order")
+
+// isWithin reports whether the keys of the page ascend within the range of the
+// request, so that every page brings a range forward.
+func (p page) isWithin(request etcdapi.RangeRequest) bool {
+	if len(request.RangeEnd) == 0 {
+		return len(p.entries) == 0 || (len(p.entries) == 1 && p.entries[0].Key == string(request.Key))
+	}
+	previous := ""
+	for i, entry := range p.entries {
+		if entry.Key < string(request.Key) || entry.Key >= string(request.RangeEnd) {
+			return false
+		}
+		if i > 0 && entry.Key <= previous {
+			return false
+		}
+		previous = entry.Key
+	}
+	return true
+}
+
 func (c *Client) rangePage(ctx context.Context, body etcdapi.RangeRequest) (page, error) {
 	request, err := newCall(opRange, etcdapi.PathRange, body)
 	if err != nil {
@@ -103,6 +129,9 @@
 			return err
 		}
 		result = page{entries: entriesOf(response.KVs), revision: int64(response.Header.Revision), more: response.More}
+		if !result.isWithin(body) {
+			return &callError{outcome: outcomeBad, cause: errOutOfRange}
+		}
 		return c.accept(response.Header, a.floor)
 	})
 	return result, err
@@ -140,6 +169,11 @@
 			request.Revision = etcdapi.Int64(next.revision)
 		}
 		snapshot.Entries = append(snapshot.Entries, next.entries...)
+		if len(snapshot.Entries) > maxRangeEntries {
+			return store.Snapshot{}, errkind.New(errkind.Unavailable,
+				fmt.Sprintf("the store has more than %d keys under %s", maxRangeEntries, prefix),
+				"find out what other than almondledge writes there")
+		}
 		if !next.more || len(next.entries) == 0 {
 			return snapshot, nil
 		}
@@ -176,6 +210,9 @@
 		if !response.Succeeded || len(response.Responses) != len(keys) {
 			return &callError{outcome: outcomeBad, cause: errNotWhole}
 		}
+		if !answersKeys(response, keys) {
+			return &callError{outcome: outcomeBad, cause: errOutOfRange}
+		}
 		snapshot = snapshotOf(response)
 		return c.accept(response.Header, a.floor)
 	})
@@ -185,6 +222,20 @@
 // errNotWhole is the cause of a callError for a transaction answered in part.
 var errNotWhole = errors.New("the answer does not cover every operation")
 
+// answersKeys reports whether every part of the answer belongs to its key.
+func answersKeys(response etcdapi.TxnResponse, keys []string) bool {
+	for i, part := range response.Responses {
+		if part.Range == nil {
+			return false
+		}
+		single := page{entries: entriesOf(part.Range.KVs)}
+		if !single.isWithin(etcdapi.RangeRequest{Key: []byte(keys[i])}) {
+			return false
+		}
+	}
+	return true
+}
+
 func snapshotOf(response etcdapi.TxnResponse) store.Snapshot {
 	snapshot := store.Snapshot{Revision: int64(response.Header.Revision)}
 	for _, part := range response.Responses {
