Control: tests found by breaking the code

Cause: breaking the code on purpose left some promises untested: a short freeze, a lost drain announcement, an agent that dies with all its observers, a stable reply set under loss, refusal of long lists before allocation. Change: one test or check for each.

--- a/internal/control/codec_test.go
+++ b/internal/control/codec_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"reflect"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -47,6 +48,22 @@
 	}
 }
 
+// longList is a StatusReply whose last field claims 2^32-1 addresses.
+func longList() []byte {
+	payload, err := Encode(&StatusReply{})
+	if err != nil {
+		panic(err)
+	}
+	return append(payload[:len(payload)-1], 0xdd, 0xff, 0xff, 0xff, 0xff)
+}
+
+func TestLongListsAreRefusedBeforeTheyAreAllocated(t *testing.T) {
+	is := is.New(t)
+	_, err := Decode(longList())
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "array of 4294967295 items"))
+}
+
 func FuzzDecode(f *testing.F) {
 	for _, m := range sampleMessages() {
 		payload, err := Encode(m)
@@ -55,7 +72,7 @@
 		}
 		f.Add(payload)
 	}
-	f.Add([]byte{byte(typeGossip), 0x94, 0xdd, 0xff, 0xff, 0xff, 0xff}) // a list of 2^32 items
+	f.Add(longList())
 	f.Fuzz(func(t *testing.T, payload []byte) {
 		m, err := Decode(payload)
 		if err != nil {
--- a/internal/control/fault_test.go
+++ b/internal/control/fault_test.go
@@ -60,9 +60,31 @@
 	}
 }
 
+func TestShortFreezeTakesANewIncarnation(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(22, 1, 3, 3)
+	f.agents[0].Frozen = true
+	f.Run(1700 * time.Millisecond) // too short to be declared dead
+	f.Thaw(f.agents[0])
+	f.Run(time.Second)
+	is.Equal(f.agents[0].Node.Counters().Freezes, uint64(1))
+	is.True(f.agents[0].Node.Self().Incarnation > 1)
+	is.True(f.allWilling(f.agents...))
+}
+
+func TestAgentThatDiesWithItsObserversIsFound(t *testing.T) {
+	f := newFleet(23, 1, 8, 8)
+	for _, a := range f.agents[2].Node.ReplyTargets(f.Now) {
+		f.Host(a).Down = true
+	}
+	f.agents[2].Down = true
+	f.mustHappen(t, "given up", 16*time.Second, func() bool { return f.noneWilling(f.agents[2]) })
+}
+
 func TestFrozenBalancerJudgesNobodyByItsOwnSilence(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(12, 1, 5, 6)
+	f.LoseWhileFrozen = true
 	f.balancers[2].Frozen = true
 	f.Run(20 * time.Second)
 	f.Thaw(f.balancers[2])
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/almondledge/almondledge/internal/catalog"
+	"github.com/almondledge/almondledge/internal/control"
 	"github.com/almondledge/almondledge/internal/control/memnet"
 	"github.com/almondledge/almondledge/internal/member"
 	"github.com/almondledge/almondledge/internal/service"
@@ -114,6 +115,7 @@
 	is := is.New(t)
 	f := newFleet(1, 2, 4, 6)
 	is.True(f.allWilling(f.agents...))
+	is.True(!f.balancers[0].Node.Ready()) // no catalog yet
 	is.NoErr(f.applyTicket(f.balancers[0], 0, 7))
 	took, ok := f.RunUntil(16*time.Second, func() bool {
 		for _, h := range f.Hosts {
@@ -142,6 +144,21 @@
 	took, ok := f.RunUntil(3*time.Second, func() bool { return f.noneWilling(f.agents[3]) })
 	t.Log("drain known everywhere after", took)
 	is.True(ok)
+	f.Perform(f.agents[3], f.agents[3].Node.SetState(f.Now, member.Serving))
+	f.mustHappen(t, "back in service", 3*time.Second, func() bool { return f.allWilling(f.agents[3]) })
+}
+
+func TestLostDrainIsRepeatedAtOnce(t *testing.T) {
+	f := newFleet(6, 1, 1, 1)
+	for phase := range 5 {
+		f.Run(time.Second + time.Duration(phase)*control.TickPeriod)
+		f.Cut = func(_, _ *memnet.Host) bool { return true }
+		f.Perform(f.agents[0], f.agents[0].Node.SetState(f.Now, member.Draining))
+		f.Run(control.TickPeriod / 2)
+		f.Cut = nil
+		f.mustHappen(t, "drain known", 3*control.TickPeriod, func() bool { return f.noneWilling(f.agents[0]) })
+		f.Perform(f.agents[0], f.agents[0].Node.SetState(f.Now, member.Serving))
+	}
 }
 
 func TestDeadHostGetsNoNewFlows(t *testing.T) {
@@ -158,7 +175,12 @@
 	is := is.New(t)
 	f := newFleet(4, 2, 8, 12)
 	f.Loss = 0.1
-	f.Run(2 * time.Minute)
+	for range 120 {
+		f.Run(time.Second)
+		for _, a := range f.agents {
+			is.Equal(len(a.Node.ReplyTargets(f.Now)), 3) // the reply set does not flap either
+		}
+	}
 	for _, b := range f.balancers {
 		is.Equal(b.Node.Counters().Suspicions, uint64(0))
 	}
--- a/internal/control/memnet/memnet.go
+++ b/internal/control/memnet/memnet.go
@@ -36,6 +36,8 @@
 	Delay time.Duration
 	// Cut, if set, reports whether nothing passes from one node to another.
 	Cut func(from, to *Host) bool
+	// LoseWhileFrozen drops what arrives at a frozen host instead of keeping it.
+	LoseWhileFrozen bool
 	// Meter, if set, returns the real time; what nodes use of it is added to Host.Busy.
 	Meter func() time.Time
 	// OnNotice, if set, is called for each notice.
@@ -197,7 +199,7 @@
 	var run func()
 	run = func() {
 		switch {
-		case to.Down || to.generation != generation:
+		case to.Down || to.generation != generation || (to.Frozen && n.LoseWhileFrozen):
 		case to.Frozen:
 			to.waiting = append(to.waiting, run)
 		default:
--- a/internal/controlplane/controlplane_test.go
+++ b/internal/controlplane/controlplane_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -117,7 +116,8 @@
 func TestOversizedFramesAreRefused(t *testing.T) {
 	is := is.New(t)
 	var frame bytes.Buffer
-	is.NoErr(binary.Write(&frame, binary.BigEndian, uint32(maxRequestBytes+1)))
+	_, err := writeFrame(&frame, request{Kind: requestMembers, Buckets: make([]byte, maxRequestBytes)})
+	is.NoErr(err)
 	var r request
 	is.Equal(errkind.Of(readFrame(&frame, maxRequestBytes, &r)), errkind.Invalid)
 }
@@ -234,7 +234,7 @@
 			s.down = false
 		})
 		s.put("services/2", "9")
-		time.Sleep(15 * time.Second)
+		time.Sleep(2 * maxStorePause)
 		is.Equal(slots(2), 9)
 
 		s.update(func() {
@@ -242,7 +242,7 @@
 			s.revision = 1
 		})
 		s.events <- store.WatchBatch{} // the store comes back from an older state
-		time.Sleep(10 * time.Second)
+		time.Sleep(2 * maxStorePause)
 		is.Equal(slots(1), 7)
 		is.True(d.Counters().StaleRefused > 0)
 		is.Equal(d.Catalog().Revision(), int64(5))
