Control: early exit for ownership, less repeated gossip, smaller files

Cause: a profile of lab slopes with 1000 nodes in one data centre spent two thirds of its time on ownership of agents, which was worked out anew for every change; after a mass join, changes were passed on for minutes. Change: ownership stops at the third better balancer and is worked out for all agents only when balancers change; hashes are kept in the table; a change that others pass on too is sent fewer times, except one that takes a member out of service; first-hand news for other data centres has queues of its own. Files split by job.

--- a/internal/control/agent.go
+++ b/internal/control/agent.go
@@ -40,21 +40,6 @@
 	nextSend time.Time
 }
 
-// target is a balancer that observes this agent.
-type target struct {
-	addr    netip.AddrPort
-	added   time.Time
-	lastAck time.Time
-	// attempts counts the announcements since the last answer.
-	attempts int
-	// nextTry is the earliest time to repeat an unanswered announcement.
-	nextTry time.Time
-	// stated is the sequence number of the first announcement of the current state.
-	stated uint32
-	// acked is the highest acknowledged sequence number.
-	acked uint32
-}
-
 type sampledPeer struct {
 	member.Member
 	seen time.Time
@@ -94,14 +79,6 @@
 	return list
 }
 
-// heard returns when the balancer last answered, or when it was chosen.
-func (t *target) heard() time.Time {
-	if t.lastAck.IsZero() {
-		return t.added
-	}
-	return t.lastAck
-}
-
 // thaw starts all waits anew after the process was frozen.
 func (a *agent) thaw(now time.Time) {
 	for _, t := range a.targets {
@@ -144,60 +121,6 @@
 	return TickPeriod << min(attempts/repeatsPerPause, maxPauseDoublings)
 }
 
-// dropSilentTargets gives up balancers that have not answered in time.
-func (a *agent) dropSilentTargets(now time.Time) {
-	timeout := a.n.cfg.Timing.AckTimeout
-	a.targets = slices.DeleteFunc(a.targets, func(t *target) bool {
-		if now.Sub(t.heard()) < timeout {
-			return false
-		}
-		a.shunned[t.addr] = now.Add(shunTime)
-		return true
-	})
-	for addr, until := range a.shunned {
-		if !now.Before(until) {
-			delete(a.shunned, addr)
-		}
-	}
-}
-
-// fillTargets replaces lost balancers by known ones, the latest named first,
-// then by the seeds.
-func (a *agent) fillTargets(now time.Time) {
-	if len(a.targets) == 0 {
-		clear(a.shunned)
-	}
-	for i := len(a.known) - 1; i >= 0 && len(a.targets) < observers; i-- {
-		a.addTarget(now, a.known[i])
-	}
-	if len(a.targets) >= observers || len(a.n.cfg.Seeds) == 0 {
-		return
-	}
-	offset := a.n.cfg.Rand.IntN(len(a.n.cfg.Seeds))
-	for i := range a.n.cfg.Seeds {
-		if len(a.targets) < observers {
-			a.addTarget(now, a.n.cfg.Seeds[(offset+i)%len(a.n.cfg.Seeds)])
-		}
-	}
-}
-
-func (a *agent) addTarget(now time.Time, addr netip.AddrPort) {
-	if _, avoid := a.shunned[addr]; avoid || a.target(addr) != nil {
-		return
-	}
-	a.targets = append(a.targets, &target{addr: addr, added: now})
-	a.nextSend = now
-}
-
-func (a *agent) target(addr netip.AddrPort) *target {
-	for _, t := range a.targets {
-		if t.addr == addr {
-			return t
-		}
-	}
-	return nil
-}
-
 func (a *agent) handle(now time.Time, from netip.AddrPort, m Message) {
 	switch m := m.(type) {
 	case *AnnounceAck:
@@ -265,47 +188,6 @@
 	a.n.pullCatalog(now, from, netip.AddrPort(m.Stream), a.n.self.Service)
 }
 
-// followOwners announces to the balancers that own this agent by rendezvous, so
-// that owners need not ask. One replacement at a time keeps the others stable.
-func (a *agent) followOwners(now time.Time, owners []netip.AddrPort) {
-	for _, addr := range owners {
-		a.remember(addr)
-		if a.target(addr) != nil {
-			continue
-		}
-		if len(a.targets) < observers {
-			a.addTarget(now, addr)
-			continue
-		}
-		a.replaceTarget(now, addr, owners)
-		return
-	}
-}
-
-func (a *agent) replaceTarget(now time.Time, addr netip.AddrPort, owners []netip.AddrPort) {
-	if _, avoid := a.shunned[addr]; avoid {
-		return
-	}
-	for i, t := range a.targets {
-		if !slices.Contains(owners, t.addr) {
-			a.targets = slices.Delete(a.targets, i, i+1)
-			a.addTarget(now, addr)
-			return
-		}
-	}
-}
-
-// remember keeps addr as the latest named balancer.
-func (a *agent) remember(addr netip.AddrPort) {
-	if i := slices.Index(a.known, addr); i >= 0 {
-		a.known = slices.Delete(a.known, i, i+1)
-	}
-	a.known = append(a.known, addr)
-	if len(a.known) > maxKnownBalancers {
-		a.known = slices.Delete(a.known, 0, 1)
-	}
-}
-
 func (a *agent) addPeer(now time.Time, p member.Member) {
 	if p.Addr == a.n.self.Addr {
 		return
@@ -317,21 +199,6 @@
 	}
 }
 
-// replyTargets returns the balancers that answered lately, or the last known
-// set when none did.
-func (a *agent) replyTargets(now time.Time) []netip.AddrPort {
-	var set []netip.AddrPort
-	for _, t := range a.targets {
-		if !t.lastAck.IsZero() && now.Sub(t.lastAck) < a.n.cfg.Timing.AckTimeout {
-			set = append(set, t.addr)
-		}
-	}
-	if len(set) > 0 {
-		a.lastSet = set
-	}
-	return a.lastSet
-}
-
 func (a *agent) recentPeers(now time.Time) []member.Member {
 	var list []member.Member
 	for _, p := range a.peers {
--- a/internal/control/balancer.go
+++ b/internal/control/balancer.go
@@ -10,9 +10,6 @@
 	"github.com/almondledge/almondledge/internal/presence"
 )
 
-// ownerPeriod bounds how often ownership of agents is worked out anew.
-const ownerPeriod = time.Second
-
 // balancer is the part of a Node that keeps the member table and spreads changes.
 type balancer struct {
 	n        *Node
@@ -78,6 +75,10 @@
 		return true
 	case presence.LoadChanged:
 		b.gossip.addLoad(m)
+	case presence.Ignored:
+		if !firstHand {
+			b.gossip.known(m)
+		}
 	}
 	return false
 }
@@ -93,8 +94,10 @@
 func (b *balancer) changed(now time.Time, m member.Member, firstHand bool) {
 	b.gossip.add(now, m, b.spreadLimit(), firstHand)
 	b.detector.changed(now, m)
-	if m.Kind == member.Balancer || b.judges(m.DataCentre) {
+	if m.Kind == member.Balancer {
 		b.ownersDirty = true
+	} else if b.judges(m.DataCentre) {
+		b.claimAgent(now, m)
 	}
 	b.n.notify(Notice{Kind: NoticePresence})
 }
@@ -184,115 +187,6 @@
 	b.n.send(now, class, to, ack)
 }
 
-// Sizes of the samples in an acknowledgement.
-const (
-	ackBalancers = 3
-	ackPeers     = 3
-)
-
-// owners returns the balancers that should observe an agent: those of its data
-// centre, or any when it has none alive.
-func (b *balancer) owners(agent netip.AddrPort, dataCentre string) []netip.AddrPort {
-	candidates := b.table.Balancers(dataCentre)
-	if !b.hasBalancers(dataCentre) {
-		candidates = nil
-		for _, other := range b.table.DataCentres() {
-			candidates = append(candidates, b.table.Balancers(other)...)
-		}
-	}
-	return presence.Rank(presence.AddrKey(agent), candidates, observers)
-}
-
-// hasBalancers reports whether a data centre has a live balancer.
-func (b *balancer) hasBalancers(dataCentre string) bool {
-	for _, r := range b.table.Balancers(dataCentre) {
-		if r.State.TakesNewFlows() {
-			return true
-		}
-	}
-	return false
-}
-
-// judges reports whether this node takes part in judging the members of a data
-// centre: its own, and those that have no balancer to do it.
-func (b *balancer) judges(dataCentre string) bool {
-	return dataCentre == b.n.self.DataCentre || !b.hasBalancers(dataCentre)
-}
-
-func (b *balancer) sampleBalancers(n int) addrList {
-	var list addrList
-	for range n {
-		if r := b.randomBalancer(b.n.self.DataCentre); r != nil {
-			list = append(list, r.Addr)
-		}
-	}
-	return list
-}
-
-// samplePeers returns willing agents of the same service, those of the same data centre first.
-func (b *balancer) samplePeers(now time.Time, self member.Member) memberList {
-	key := presence.GroupKey{DataCentre: self.DataCentre, Kind: member.Agent, Service: self.Service}
-	list := b.sampleGroup(now, nil, b.table.Group(key), self.Addr)
-	if len(list) < ackPeers {
-		for _, c := range b.table.Candidates(now, self.Service) {
-			if c.DataCentre != self.DataCentre && c.State.TakesNewFlows() && len(list) < ackPeers {
-				list = append(list, c.Member)
-			}
-		}
-	}
-	return list
-}
-
-func (b *balancer) sampleGroup(now time.Time, list memberList, group []*presence.Record, except netip.AddrPort) memberList {
-	if len(group) == 0 {
-		return list
-	}
-	offset := b.n.cfg.Rand.IntN(len(group))
-	for i := range group {
-		r := group[(offset+i)%len(group)]
-		if len(list) < ackPeers && r.Addr != except && r.State.TakesNewFlows() && b.table.Routable(now, r) {
-			list = append(list, r.Member)
-		}
-	}
-	return list
-}
-
-// pickAttempts bounds the random draws for one live balancer.
-const pickAttempts = 8
-
-// randomBalancer returns a random live balancer of a data centre, or nil.
-func (b *balancer) randomBalancer(dataCentre string) *presence.Record {
-	group := b.table.Balancers(dataCentre)
-	if len(group) == 0 {
-		return nil
-	}
-	for range pickAttempts {
-		r := group[b.n.cfg.Rand.IntN(len(group))]
-		if r.Addr != b.n.self.Addr && isReachable(r) {
-			return r
-		}
-	}
-	return nil
-}
-
-// randomRemote returns a random live balancer of another data centre, or nil.
-func (b *balancer) randomRemote() *presence.Record {
-	centres := b.table.DataCentres()
-	if len(centres) == 0 {
-		return nil
-	}
-	dataCentre := centres[b.n.cfg.Rand.IntN(len(centres))]
-	if dataCentre == b.n.self.DataCentre {
-		return nil
-	}
-	return b.randomBalancer(dataCentre)
-}
-
-// isReachable reports whether control messages to a balancer make sense.
-func isReachable(r *presence.Record) bool {
-	return r.State != member.Suspect && r.State != member.Dead
-}
-
 func (b *balancer) handlePing(now time.Time, from netip.AddrPort, m *Ping) {
 	self := member.Member(m.Self)
 	if self.Addr != from {
@@ -371,125 +265,3 @@
 		b.repair.pull(now, sender.Addr, sender.Stream, nil)
 	}
 }
-
-// Joining.
-const (
-	// joinRetry is the time between attempts to join.
-	joinRetry = 500 * time.Millisecond
-	// joinTimeout is how long a node looks for peers before it runs alone.
-	joinTimeout = 5 * time.Second
-	// joinContacts is the number of seeds contacted at a time.
-	joinContacts = 3
-)
-
-// join contacts seeds until a peer's table is merged. Afterwards it goes on
-// contacting seeds and dead balancers now and then, so that parts of the fleet
-// that gave each other up find together again.
-func (b *balancer) join(now time.Time) {
-	if now.Before(b.nextJoin) {
-		return
-	}
-	if !b.joined && now.Sub(b.started) >= joinTimeout {
-		b.joined = true
-	}
-	if b.joined {
-		b.nextJoin = now.Add(b.n.cfg.Timing.RejoinPeriod + b.n.jitter(b.n.cfg.Timing.RejoinPeriod))
-		b.rejoin(now)
-		return
-	}
-	b.nextJoin = now.Add(joinRetry)
-	seeds := b.n.cfg.Seeds
-	for range min(joinContacts, len(seeds)) {
-		b.contact(now, seeds[b.n.cfg.Rand.IntN(len(seeds))])
-	}
-}
-
-func (b *balancer) rejoin(now time.Time) {
-	if seeds := b.n.cfg.Seeds; len(seeds) > 0 {
-		seed := seeds[b.n.cfg.Rand.IntN(len(seeds))]
-		if r := b.table.Get(seed); r == nil || !isReachable(r) {
-			b.contact(now, seed)
-		}
-	}
-	group := b.table.Balancers(b.n.self.DataCentre)
-	if len(group) == 0 {
-		return
-	}
-	if r := group[b.n.cfg.Rand.IntN(len(group))]; !isReachable(r) {
-		b.contact(now, r.Addr)
-	}
-}
-
-// contactFar pings a seed and a balancer of another data centre, to find out
-// whether this node can receive at all.
-func (b *balancer) contactFar(now time.Time) {
-	if seeds := b.n.cfg.Seeds; len(seeds) > 0 {
-		b.contact(now, seeds[b.n.cfg.Rand.IntN(len(seeds))])
-	}
-	if r := b.randomRemote(); r != nil {
-		b.contact(now, r.Addr)
-	}
-}
-
-// contact pings a member and tells it what this node holds against it.
-func (b *balancer) contact(now time.Time, to netip.AddrPort) {
-	if to == b.n.self.Addr {
-		return
-	}
-	ping := &Ping{Sequence: b.n.nextSequence(), Self: b.n.record(), Revision: b.n.catalog.Revision()}
-	if r := b.table.Get(to); r != nil && !isReachable(r) {
-		ping.Updates = memberList{r.Member}
-	}
-	b.n.send(now, ClassProbe, to, ping)
-}
-
-// updateOwners works out which agents this node must observe and whether it
-// watches the store, after balancers have come or gone.
-func (b *balancer) updateOwners(now time.Time) {
-	if !b.ownersDirty || now.Before(b.nextOwners) {
-		return
-	}
-	b.ownersDirty = false
-	b.nextOwners = now.Add(ownerPeriod)
-	b.updateWatching()
-	for _, dataCentre := range b.table.AgentDataCentres() {
-		if b.judges(dataCentre) {
-			b.claimAgents(now, dataCentre)
-		}
-	}
-}
-
-// claimAgents starts to observe the agents of a data centre that this node owns.
-func (b *balancer) claimAgents(now time.Time, dataCentre string) {
-	b.table.Agents(dataCentre, func(r *presence.Record) {
-		if r.State == member.Dead || b.detector.observes(r.Addr) {
-			return
-		}
-		for _, owner := range b.owners(r.Addr, r.DataCentre) {
-			if owner == b.n.self.Addr {
-				b.detector.observe(now, r.Addr)
-			}
-		}
-	})
-}
-
-func (b *balancer) updateWatching() {
-	watching := false
-	dataCentre := b.n.self.DataCentre
-	for _, a := range presence.Rank([]byte(dataCentre), b.table.Balancers(dataCentre), watchers) {
-		watching = watching || a == b.n.self.Addr
-	}
-	if watching == b.watching {
-		return
-	}
-	b.watching = watching
-	b.n.notify(Notice{Kind: NoticeWatcher})
-}
-
-// thaw restarts all waits after the process was frozen.
-func (b *balancer) thaw(now time.Time) {
-	b.detector.thaw(now)
-	b.reach.thaw(now)
-	b.n.pull.until = time.Time{}
-	b.repair.pulling = time.Time{}
-}
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -19,31 +19,21 @@
 	maxRemoteMembers = 8
 )
 
-// loadPeriod is the time between two messages that carry load reports only.
-const loadPeriod = time.Second
-
 // urgentPause is the time in which only the first news of a member is urgent.
 const urgentPause = 5 * time.Second
 
-// loadSends is the number of times that a node passes a load report on.
-const loadSends = 4
-
 // rumor is a change that is being passed on.
 type rumor struct {
-	m member.Member
+	m      member.Member
+	urgent bool
+	// superseded is set when later news of the member has replaced this.
+	superseded bool
 	// left is the number of sends left.
 	left int
 	// origin is the number of messages left that also go to each other data centre.
 	origin int
 }
 
-// loadRumor is a load report that is being passed on.
-type loadRumor struct {
-	report loadReport
-	left   int
-	queued bool
-}
-
 // gossip spreads changes among balancers: each is sent a bounded number of
 // times, the queues are served in turn, and urgent ones go first.
 type gossip struct {
@@ -52,6 +42,8 @@
 	// fresh holds urgent news that was not sent yet, urgent the rest of it.
 	fresh, urgent []*rumor
 	normal        []*rumor
+	// urgentOrigins and origins hold the news that must also go to each other data centre.
+	urgentOrigins, origins []*rumor
 	// lastUrgent holds when news of a member was last urgent.
 	lastUrgent map[netip.AddrPort]time.Time
 	nextForget time.Time
@@ -107,37 +99,21 @@
 func (g *gossip) add(now time.Time, m member.Member, sends int, firstHand bool) {
 	if old := g.rumors[m.Addr]; old != nil {
 		old.left = 0 // its queue drops it when it comes to it
+		old.superseded = true
 	}
-	r := &rumor{m: m, left: sends}
+	r := &rumor{m: m, left: sends, urgent: g.isUrgent(now, m)}
 	if firstHand {
 		r.origin = originSends
+		g.addOrigin(r)
 	}
 	g.rumors[m.Addr] = r
-	if g.isUrgent(now, m) {
+	if r.urgent {
 		g.fresh = append(g.fresh, r)
 	} else {
 		g.normal = append(g.normal, r)
 	}
 }
 
-// addLoad queues a load report for the balancers of the same data centre.
-func (g *gossip) addLoad(m member.Member) {
-	if m.DataCentre != g.b.n.self.DataCentre {
-		return
-	}
-	l := g.loadRumors[m.Addr]
-	if l == nil {
-		l = &loadRumor{}
-		g.loadRumors[m.Addr] = l
-	}
-	l.report = loadReport{Addr: m.Addr, Incarnation: m.Incarnation, Sequence: m.Sequence, Load: m.Load}
-	l.left = loadSends
-	if !l.queued {
-		l.queued = true
-		g.loads = append(g.loads, l)
-	}
-}
-
 // spreadRevision sends news of a new catalog revision a number of times.
 func (g *gossip) spreadRevision(sends int) {
 	g.revisionLeft = sends
@@ -199,45 +175,11 @@
 	g.revisionLeft = max(0, g.revisionLeft-len(to))
 }
 
-// sendRemote tells one balancer of each other data centre what this node learned
-// at first hand.
-func (g *gossip) sendRemote(now time.Time, class Class) {
-	var origin []*rumor
-	for _, queue := range [][]*rumor{g.fresh, g.urgent, g.normal} {
-		for _, r := range queue {
-			if r.left > 0 && r.origin > 0 && len(origin) < maxRemoteMembers {
-				origin = append(origin, r)
-			}
-		}
-	}
-	if len(origin) == 0 {
-		return
-	}
-	m := &Gossip{Self: g.b.n.record(), Revision: g.b.n.catalog.Revision()}
-	for _, r := range origin {
-		m.Updates = append(m.Updates, r.m)
-	}
-	sent := true
-	for _, dataCentre := range g.b.table.DataCentres() {
-		if dataCentre == g.b.n.self.DataCentre {
-			continue
-		}
-		if r := g.b.randomBalancer(dataCentre); r != nil {
-			sent = g.b.n.send(now, class, r.Addr, m) && sent
-		}
-	}
-	if !sent {
-		return // the budget held something back; the next message tries again
-	}
-	for _, r := range origin {
-		r.origin--
-	}
-}
-
 // drop forgets all news: there is nobody to tell, and a later peer pulls the whole table.
 func (g *gossip) drop() {
 	clear(g.rumors)
 	g.fresh, g.urgent, g.normal = nil, nil, nil
+	g.urgentOrigins, g.origins = nil, nil
 	clear(g.loadRumors)
 	g.loads = nil
 	g.revisionLeft = 0
@@ -287,27 +229,6 @@
 	return updates
 }
 
-func (g *gossip) fillLoads(room *int, sends int) loadList {
-	var list loadList
-	for range len(g.loads) {
-		if *room < loadSize || len(list) >= maxLoads {
-			return list
-		}
-		l := g.loads[0]
-		g.loads = g.loads[1:]
-		*room -= loadSize
-		list = append(list, l.report)
-		l.left -= sends
-		if l.left > 0 {
-			g.loads = append(g.loads, l)
-			continue
-		}
-		l.queued = false
-		delete(g.loadRumors, l.report.Addr)
-	}
-	return list
-}
-
 // piggyback returns a few urgent changes for a probe. They count as one send each.
 func (g *gossip) piggyback() memberList {
 	room := piggybackMembers * (memberBaseSize + maxDataCentreBytes)
@@ -315,6 +236,19 @@
 	return g.fill(&g.urgent, &g.urgent, updates, &room, 1)
 }
 
+// known notes that another balancer passed on what this node is passing on too:
+// the news has got around, so fewer sends are left. News that takes a member out
+// of service is spared, because the last node must hear of it in time.
+func (g *gossip) known(m member.Member) {
+	r := g.rumors[m.Addr]
+	if r == nil || !m.State.TakesNewFlows() {
+		return
+	}
+	if r.m.Incarnation == m.Incarnation && r.m.State == m.State {
+		r.left -= gossipFanout
+	}
+}
+
 // forget stops passing on the news of one member.
 func (g *gossip) forget(a netip.AddrPort) {
 	if r := g.rumors[a]; r != nil {
--- /dev/null
+++ b/internal/control/probe.go
@@ -0,0 +1,181 @@
+package control
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/member"
+)
+
+// probe is a series of pings to one member, direct ones first.
+type probe struct {
+	addr     netip.AddrPort
+	sequence uint32
+	attempt  int
+	next     time.Time
+}
+
+// relayedProbe is a ping sent for another balancer.
+type relayedProbe struct {
+	origin   netip.AddrPort
+	sequence uint32
+	until    time.Time
+}
+
+// probeBalancer probes the next balancer of the data centre, each once in a round.
+func (d *detector) probeBalancer(now time.Time) {
+	if now.Before(d.nextBalancer) {
+		return
+	}
+	d.nextBalancer = now.Add(d.b.n.cfg.Timing.ProbePeriod)
+	if len(d.round) == 0 {
+		d.newRound()
+	}
+	for len(d.round) > 0 {
+		a := d.round[0]
+		d.round = d.round[1:]
+		if r := d.b.table.Get(a); r != nil && isReachable(r) {
+			d.startProbe(now, a)
+			return
+		}
+	}
+}
+
+func (d *detector) newRound() {
+	for _, r := range d.b.table.Balancers(d.b.n.self.DataCentre) {
+		if r.Addr != d.b.n.self.Addr && isReachable(r) {
+			d.round = append(d.round, r.Addr)
+		}
+	}
+	d.b.n.cfg.Rand.Shuffle(len(d.round), func(i, j int) { d.round[i], d.round[j] = d.round[j], d.round[i] })
+}
+
+func (d *detector) startProbe(now time.Time, a netip.AddrPort) {
+	for _, p := range d.probes {
+		if p.addr == a {
+			return
+		}
+	}
+	p := &probe{addr: a, sequence: d.b.n.nextSequence()}
+	d.probes = append(d.probes, p)
+	d.stepProbe(now, p)
+}
+
+// stepProbe sends the next attempt: a direct ping, and from the second attempt
+// on also requests to other balancers, whose path may work when ours does not.
+// An attempt that the budget holds back does not count.
+func (d *detector) stepProbe(now time.Time, p *probe) {
+	n := d.b.n
+	ping := &Ping{Sequence: p.sequence, Self: n.record(), Revision: n.catalog.Revision()}
+	if p.attempt == 0 {
+		ping.Updates = d.b.gossip.piggyback()
+	}
+	if !n.send(now, ClassProbe, p.addr, ping) {
+		p.next = now.Add(TickPeriod)
+		return
+	}
+	if p.attempt > 0 {
+		for range indirectProbes {
+			if r := d.b.randomBalancer(n.self.DataCentre); r != nil && r.Addr != p.addr {
+				n.send(now, ClassProbe, r.Addr, &PingRequest{Sequence: p.sequence, Target: addr(p.addr), Revision: n.catalog.Revision()})
+			}
+		}
+	}
+	p.attempt++
+	p.next = now.Add(n.cfg.Timing.ProbeStep)
+}
+
+// continueProbes sends further attempts and ends the probes that have failed.
+func (d *detector) continueProbes(now time.Time) {
+	var failed []*probe
+	d.probes = slices.DeleteFunc(d.probes, func(p *probe) bool {
+		if now.Before(p.next) {
+			return false
+		}
+		if p.attempt < probeAttempts {
+			d.stepProbe(now, p)
+			return false
+		}
+		failed = append(failed, p)
+		return true
+	})
+	for _, p := range failed {
+		d.probeFailed(now, p.addr)
+	}
+}
+
+// probeFailed declares a silent member suspect. One that was draining or leaving
+// has no new work to lose and is dead at once.
+func (d *detector) probeFailed(now time.Time, a netip.AddrPort) {
+	if o := d.observed[a]; o != nil {
+		o.probing = false
+	}
+	r := d.b.table.Get(a)
+	if r == nil {
+		return
+	}
+	if d.doubtsItself(now) {
+		d.b.contactFar(now)
+		return
+	}
+	m := r.Member
+	switch m.State {
+	case member.Warming, member.Serving:
+		m.State = member.Suspect
+		d.b.n.counters.Suspicions++
+	case member.Draining, member.Leaving:
+		m.State = member.Dead
+		d.b.n.counters.Deaths++
+	default:
+		return
+	}
+	d.b.learnFirstHand(now, m)
+}
+
+// relay pings a member for another balancer.
+func (d *detector) relay(now time.Time, origin netip.AddrPort, m *PingRequest) {
+	sequence := d.b.n.nextSequence()
+	d.relayed[sequence] = relayedProbe{origin, m.Sequence, now.Add(relayLifetime)}
+	ping := &Ping{Sequence: sequence, Self: d.b.n.record(), Revision: d.b.n.catalog.Revision()}
+	d.b.n.send(now, ClassProbe, netip.AddrPort(m.Target), ping)
+}
+
+// answered takes the answer to a probe, or passes it on to the one who asked for it.
+func (d *detector) answered(now time.Time, m member.Member, ack *PingAck) {
+	if r, ok := d.relayed[ack.Sequence]; ok {
+		delete(d.relayed, ack.Sequence)
+		passed := *ack
+		passed.Sequence = r.sequence
+		passed.Updates = nil
+		d.b.n.send(now, ClassProbe, r.origin, &passed)
+		return
+	}
+	d.probes = slices.DeleteFunc(d.probes, func(p *probe) bool {
+		return p.addr == m.Addr && p.sequence == ack.Sequence
+	})
+	o := d.observed[m.Addr]
+	if o == nil {
+		return
+	}
+	o.probing = false
+	if known := d.b.table.Get(m.Addr); known != nil && contests(known.Member, m) {
+		return
+	}
+	d.b.learnFirstHand(now, m)
+	o.lastHeard = now
+	if ack.Released {
+		d.release(o)
+	}
+}
+
+// release stops observing an agent that announces itself to other balancers,
+// unless this node is one of its owners.
+func (d *detector) release(o *observation) {
+	o.announced = false
+	if d.b.owns(o.addr, d.b.table.Get(o.addr).DataCentre) {
+		return
+	}
+	delete(d.observed, o.addr)
+	d.order = slices.DeleteFunc(d.order, func(other *observation) bool { return other == o })
+}
--- /dev/null
+++ b/internal/control/sample.go
@@ -0,0 +1,89 @@
+package control
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/member"
+	"github.com/almondledge/almondledge/internal/presence"
+)
+
+// Sizes of the samples in an acknowledgement.
+const (
+	ackBalancers = 3
+	ackPeers     = 3
+)
+
+func (b *balancer) sampleBalancers(n int) addrList {
+	var list addrList
+	for range n {
+		if r := b.randomBalancer(b.n.self.DataCentre); r != nil {
+			list = append(list, r.Addr)
+		}
+	}
+	return list
+}
+
+// samplePeers returns willing agents of the same service, those of the same data centre first.
+func (b *balancer) samplePeers(now time.Time, self member.Member) memberList {
+	key := presence.GroupKey{DataCentre: self.DataCentre, Kind: member.Agent, Service: self.Service}
+	list := b.sampleGroup(now, nil, b.table.Group(key), self.Addr)
+	if len(list) < ackPeers {
+		for _, c := range b.table.Candidates(now, self.Service) {
+			if c.DataCentre != self.DataCentre && c.State.TakesNewFlows() && len(list) < ackPeers {
+				list = append(list, c.Member)
+			}
+		}
+	}
+	return list
+}
+
+func (b *balancer) sampleGroup(now time.Time, list memberList, group []*presence.Record, except netip.AddrPort) memberList {
+	if len(group) == 0 {
+		return list
+	}
+	offset := b.n.cfg.Rand.IntN(len(group))
+	for i := range group {
+		r := group[(offset+i)%len(group)]
+		if len(list) < ackPeers && r.Addr != except && r.State.TakesNewFlows() && b.table.Routable(now, r) {
+			list = append(list, r.Member)
+		}
+	}
+	return list
+}
+
+// pickAttempts bounds the random draws for one live balancer.
+const pickAttempts = 8
+
+// randomBalancer returns a random live balancer of a data centre, or nil.
+func (b *balancer) randomBalancer(dataCentre string) *presence.Record {
+	group := b.table.Balancers(dataCentre)
+	if len(group) == 0 {
+		return nil
+	}
+	for range pickAttempts {
+		r := group[b.n.cfg.Rand.IntN(len(group))]
+		if r.Addr != b.n.self.Addr && isReachable(r) {
+			return r
+		}
+	}
+	return nil
+}
+
+// randomRemote returns a random live balancer of another data centre, or nil.
+func (b *balancer) randomRemote() *presence.Record {
+	centres := b.table.DataCentres()
+	if len(centres) == 0 {
+		return nil
+	}
+	dataCentre := centres[b.n.cfg.Rand.IntN(len(centres))]
+	if dataCentre == b.n.self.DataCentre {
+		return nil
+	}
+	return b.randomBalancer(dataCentre)
+}
+
+// isReachable reports whether control messages to a balancer make sense.
+func isReachable(r *presence.Record) bool {
+	return r.State != member.Suspect && r.State != member.Dead
+}
--- a/internal/presence/digest.go
+++ b/internal/presence/digest.go
@@ -15,7 +15,7 @@
 
 // BucketOf returns the bucket that addr belongs to.
 func BucketOf(addr netip.AddrPort) uint8 {
-	return uint8(xxhash.Sum64(addrBytes(addr)))
+	return uint8(HashAddr(addr))
 }
 
 // Sums returns one checksum for each bucket. Dead members do not count, because
@@ -38,11 +38,11 @@
 	if r.State == member.Dead {
 		return
 	}
-	key := addrBytes(r.Addr)
-	bucket := uint8(xxhash.Sum64(key))
-	key = binary.LittleEndian.AppendUint64(key, r.Incarnation)
-	key = append(key, byte(r.State))
-	t.sums[bucket] ^= uint32(xxhash.Sum64(key))
+	var key [17]byte
+	binary.LittleEndian.PutUint64(key[:], r.hash)
+	binary.LittleEndian.PutUint64(key[8:], r.Incarnation)
+	key[16] = byte(r.State)
+	t.sums[uint8(r.hash)] ^= uint32(xxhash.Sum64(key[:]))
 }
 
 // Bucket returns the members of the given buckets, dead ones included, sorted
@@ -72,54 +72,3 @@
 	}
 	return differ
 }
-
-// Rank orders candidates for subject by rendezvous hashing, highest first, and
-// returns at most n of them. Every node that knows the same candidates agrees.
-func Rank(subject []byte, candidates []*Record, n int) []netip.AddrPort {
-	type scored struct {
-		addr  netip.AddrPort
-		score uint64
-	}
-	best := make([]scored, 0, n+1)
-	buf := make([]byte, 0, 64)
-	for _, r := range candidates {
-		if !r.State.TakesNewFlows() {
-			continue
-		}
-		buf = append(buf[:0], subject...)
-		buf = appendAddr(buf, r.Addr)
-		s := scored{r.Addr, xxhash.Sum64(buf)}
-		at, _ := slices.BinarySearchFunc(best, s, func(a, b scored) int {
-			if a.score != b.score {
-				if a.score > b.score {
-					return -1
-				}
-				return 1
-			}
-			return a.addr.Compare(b.addr)
-		})
-		if at >= n {
-			continue
-		}
-		best = slices.Insert(best, at, s)
-		best = best[:min(n, len(best))]
-	}
-	addrs := make([]netip.AddrPort, len(best))
-	for i := range best {
-		addrs[i] = best[i].addr
-	}
-	return addrs
-}
-
-// AddrKey returns the bytes under which addr is hashed.
-func AddrKey(addr netip.AddrPort) []byte { return addrBytes(addr) }
-
-func addrBytes(addr netip.AddrPort) []byte {
-	return appendAddr(make([]byte, 0, 32), addr)
-}
-
-func appendAddr(buf []byte, addr netip.AddrPort) []byte {
-	ip := addr.Addr().As16()
-	buf = append(buf, ip[:]...)
-	return binary.LittleEndian.AppendUint16(buf, addr.Port())
-}
--- a/internal/presence/table.go
+++ b/internal/presence/table.go
@@ -16,6 +16,8 @@
 	// failedAt is when the member became suspect or dead without having
 	// announced its end; zero for all others.
 	failedAt time.Time
+	// hash is HashAddr of the address.
+	hash uint64
 	// index is the position in the group's list.
 	index int
 }
@@ -112,7 +114,7 @@
 	if known {
 		t.remove(old)
 	}
-	r := &Record{Member: m, Since: now}
+	r := &Record{Member: m, Since: now, hash: HashAddr(m.Addr)}
 	r.failedAt = failureTime(now, m, old)
 	t.insert(r)
 	if known {
