--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -10,6 +10,7 @@
 type cli struct {
 	Version versionCmd `cmd:"" help:"Print the version of the tool."`
 	Slopes  slopesCmd  `cmd:"" help:"Measure how control grows with the number of nodes."`
+	State   stateCmd   `cmd:"" help:"Measure what one balancer holds at the design size."`
 }
 
 func main() {
--- a/internal/lab/slopes/slopes.go
+++ b/internal/lab/slopes/slopes.go
@@ -103,8 +103,9 @@
 	p := Point{Nodes: nodes, Balancers: balancers, Agents: nodes - balancers, Churn: opts.Churn > 0}
 	p.BytesOfHeap = float64(liveHeap()-heapBefore) / float64(nodes)
 	f.measureTraffic(&p)
+	f.finishRestarts()
 	for _, b := range f.balancers {
-		if b.Node.Watching() {
+		if !b.Down && b.Node.Watching() {
 			p.Watchers++
 		}
 	}
