Control: a leaving balancer names the others in every answer; metrics

Cause: an agent learned its other balancers only with every eighth answer, up to 4 s, while a balancer was about to stop; ReplyTargets took the node's lock. Change: answers of a balancer that is draining always name the owners; reply targets are published without a lock; metrics of traffic and counters.

--- a/internal/control/balancer.go
+++ b/internal/control/balancer.go
@@ -177,7 +177,8 @@
 	if self.State == member.Draining || self.State == member.Leaving {
 		class = ClassUrgent
 	}
-	if contested || m.First || m.Sequence%fullAckEvery == 1 {
+	leaving := !b.n.self.State.TakesNewFlows() // the agent must find others soon
+	if contested || leaving || m.First || m.Sequence%fullAckEvery == 1 {
 		ack.Owners = b.owners(to, self.DataCentre)
 	}
 	if m.Sequence%fullAckEvery == 1 {
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -171,6 +172,26 @@
 	is.True(ok)
 }
 
+func TestLeavingBalancerIsReplacedBeforeItStops(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(7, 1, 6, 12)
+	f.Loss = 0.1
+	leaving := f.balancers[2]
+	f.Perform(leaving, leaving.Node.SetState(f.Now, member.Draining))
+	f.mustHappen(t, "out of all reply sets", 2*time.Second, func() bool {
+		for _, a := range f.agents {
+			if slices.Contains(a.Node.ReplyTargets(f.Now), leaving.Addr) {
+				return false
+			}
+		}
+		return true
+	})
+	f.Run(time.Second)
+	for _, a := range f.agents {
+		is.Equal(len(a.Node.ReplyTargets(f.Now)), 3) // others have taken its place
+	}
+}
+
 func TestLossCausesNoFlapping(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(4, 2, 8, 12)
--- a/internal/controlplane/controlplane_test.go
+++ b/internal/controlplane/controlplane_test.go
@@ -14,6 +14,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
@@ -108,8 +109,12 @@
 		agent.SetState(member.Draining)
 		time.Sleep(time.Second)
 		is.Equal(len(second.Candidates(1)), 0)
-		_, streamSent, _ := first.Usage()
-		is.True(streamSent > 0)
+		set := metrics.NewSet()
+		first.Register(set)
+		var page bytes.Buffer
+		set.WritePrometheus(&page)
+		is.True(strings.Contains(page.String(), "almondledge_catalog_revision 4\n"))
+		is.True(!strings.Contains(page.String(), "almondledge_control_stream_sent_bytes_total 0\n"))
 	})
 }
 
--- a/internal/controlplane/driver.go
+++ b/internal/controlplane/driver.go
@@ -46,9 +46,11 @@
 	mu   sync.Mutex
 	node *control.Node
 
-	catalog    atomic.Pointer[catalog.Catalog]
-	ready      atomic.Bool
-	candidates sync.Map // service.ID to []presence.Candidate
+	// What readers without the lock see; publish sets it.
+	catalog      atomic.Pointer[catalog.Catalog]
+	replyTargets atomic.Pointer[[]netip.AddrPort]
+	ready        atomic.Bool
+	candidates   sync.Map // service.ID to []presence.Candidate
 	// watchChanged wakes the watcher when the node's duty to watch may have changed.
 	watchChanged chan struct{}
 	lastTimed    time.Time
@@ -117,6 +119,8 @@
 	d.ready.Store(d.node.Ready())
 	table := d.node.Table()
 	if table == nil {
+		targets := d.node.ReplyTargets(now)
+		d.replyTargets.Store(&targets)
 		return
 	}
 	timed := now.Sub(d.lastTimed) >= timedPeriod
@@ -183,11 +187,13 @@
 	return d.node.Bucket()
 }
 
-// ReplyTargets returns the balancers through which an agent sends replies.
+// ReplyTargets returns the balancers through which an agent sends replies. The
+// slice must not be changed. It takes no lock, so it may be called per packet.
 func (d *Driver) ReplyTargets() []netip.AddrPort {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.node.ReplyTargets(time.Now())
+	if targets := d.replyTargets.Load(); targets != nil {
+		return *targets
+	}
+	return nil
 }
 
 // Peers returns willing agents of the same service.
