--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/almondledge/almondledge/internal/member"
@@ -188,13 +187,7 @@
 // targets returns the balancers for one message: a few of the own data centre,
 // and at times one of another.
 func (g *gossip) targets() []netip.AddrPort {
-	var list []netip.AddrPort
-	for range gossipFanout {
-		r := g.b.randomBalancer(g.b.n.self.DataCentre)
-		if r != nil && !slices.Contains(list, r.Addr) {
-			list = append(list, r.Addr)
-		}
-	}
+	list := g.b.randomBalancers(gossipFanout, g.b.n.self.Addr)
 	if len(list) == 0 || g.b.n.cfg.Rand.Float64() < remoteGossipShare {
 		if r := g.b.randomRemote(); r != nil {
 			list = append(list, r.Addr)
--- a/internal/control/probe.go
+++ b/internal/control/probe.go
@@ -76,10 +76,9 @@
 		return
 	}
 	if p.attempt > 0 {
-		for range indirectProbes {
-			if r := d.b.randomBalancer(n.self.DataCentre); r != nil && r.Addr != p.addr {
-				n.send(now, ClassProbe, r.Addr, &PingRequest{Sequence: p.sequence, Target: addr(p.addr), Revision: n.catalog.Revision()})
-			}
+		request := &PingRequest{Sequence: p.sequence, Target: addr(p.addr), Revision: n.catalog.Revision()}
+		for _, helper := range d.b.randomBalancers(indirectProbes, p.addr) {
+			n.send(now, ClassProbe, helper, request)
 		}
 	}
 	p.attempt++
--- a/internal/control/sample.go
+++ b/internal/control/sample.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/almondledge/almondledge/internal/member"
@@ -15,13 +16,7 @@
 )
 
 func (b *balancer) sampleBalancers(n int) addrList {
-	var list addrList
-	for range n {
-		if r := b.randomBalancer(b.n.self.DataCentre); r != nil {
-			list = append(list, r.Addr)
-		}
-	}
-	return list
+	return b.randomBalancers(n, b.n.self.Addr)
 }
 
 // samplePeers returns willing agents of the same service, those of the same data centre first.
@@ -70,6 +65,22 @@
 	return nil
 }
 
+// randomBalancers returns up to n different live balancers of the own data
+// centre other than except.
+func (b *balancer) randomBalancers(n int, except netip.AddrPort) []netip.AddrPort {
+	var list []netip.AddrPort
+	for range n * pickAttempts {
+		r := b.randomBalancer(b.n.self.DataCentre)
+		if r == nil || len(list) == n {
+			break
+		}
+		if r.Addr != except && !slices.Contains(list, r.Addr) {
+			list = append(list, r.Addr)
+		}
+	}
+	return list
+}
+
 // randomRemote returns a random live balancer of another data centre, or nil.
 func (b *balancer) randomRemote() *presence.Record {
 	centres := b.table.DataCentres()
