--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -38,7 +38,7 @@
 	event.Attempt = a.Attempt
 	switch event.Kind {
 	case request.AnswerEnded:
-		x.record.finish(x.outcome(true))
+		x.settleFinished(x.outcome(true))
 		x.copyTrailers()
 	case request.AnswerCut:
 		x.g.counters.cutAnswers.Inc()
@@ -125,7 +125,7 @@
 // abort ends the caller's stream so that a cut answer is seen as cut.
 func (x *exchange) abort() {
 	if x.answer != nil {
-		x.record.finish(x.outcome(false))
+		x.settleFinished(x.outcome(false))
 	}
 	panic(http.ErrAbortHandler)
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -41,7 +41,8 @@
 	key        *idempotency.Key
 	keyText    string
 	print      idempotency.Fingerprint
-	record     settler
+	// subject names the record that this agent keeps of the request.
+	subject request.Subject
 
 	machine *request.Machine
 	peers   []member.Member
@@ -54,7 +55,7 @@
 }
 
 func (g *Gateway) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
-	x := &exchange{g: g, w: w, r: r, spec: g.cfg.Spec(), body: newRequestBody(r), record: noRecord{}}
+	x := &exchange{g: g, w: w, r: r, spec: g.cfg.Spec(), body: newRequestBody(r)}
 	x.ctx, x.cancel = context.WithCancelCause(r.Context())
 	if from, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
 		x.caller = from.Addr()
@@ -72,7 +73,7 @@
 	x.dropAnswer()
 	x.cancel(errFinished)
 	x.releaseSlot()
-	x.record.lose()
+	x.settleUnknown()
 }
 
 // startClock sets the deadline: limit from now.
--- a/internal/gateway/fields.go
+++ b/internal/gateway/fields.go
@@ -24,15 +24,20 @@
 
 // Fields of relayed requests and their answers, between agents only.
 const (
-	relayServiceField  = "Almondledge-Relay-Service"
-	relayHopsField     = "Almondledge-Relay-Hops"
-	relayCallerField   = "Almondledge-Relay-Caller"
-	relayKeyField      = "Almondledge-Relay-Key"
-	relayGrantField    = "Almondledge-Relay-Grant"
-	incarnationField   = "Almondledge-Incarnation"
-	ownFieldPrefix     = "Almondledge-"
-	relayRetryMsField  = "Almondledge-Retry-After-Ms"
-	relayOverloadField = "Almondledge-Overloaded"
+	relayServiceField = "Almondledge-Relay-Service"
+	relayHopsField    = "Almondledge-Relay-Hops"
+	relayCallerField  = "Almondledge-Relay-Caller"
+	relayKeyField     = "Almondledge-Relay-Key"
+	relayGrantField   = "Almondledge-Relay-Grant"
+	// relayLifeField tells in an answer the life that grants for the agent must name.
+	relayLifeField = "Almondledge-Relay-Life"
+	// relayLifeMissingField says in an answer that the grant named no life.
+	relayLifeMissingField = "Almondledge-Relay-Life-Missing"
+	relayRetryMsField     = "Almondledge-Relay-Retry-After-Ms"
+	relayOverloadField    = "Almondledge-Relay-Overloaded"
+
+	// ownFieldPrefix begins the fields that only this system may set.
+	ownFieldPrefix = "Almondledge-"
 )
 
 // Outcome says what became of a request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/idempotency"
 	"github.com/almondledge/almondledge/internal/member"
+	"github.com/almondledge/almondledge/internal/request"
 	"github.com/almondledge/almondledge/internal/retry"
 	"github.com/almondledge/almondledge/internal/service"
 )
@@ -103,14 +104,9 @@
 
 // shared holds the pure objects that all requests use.
 type shared struct {
-	budget *retry.Budget
-	issuer *idempotency.Issuer
-	ledger *idempotency.Ledger
-	grants *idempotency.GrantLog
-	// granted is the number of grants given.
-	granted uint64
-	// executors holds the process lives of peers, as they told them.
-	executors map[netip.AddrPort]uint64
+	budget  *retry.Budget
+	issuer  *idempotency.Issuer
+	records *request.Records
 }
 
 // New returns a Gateway.
@@ -128,11 +124,9 @@
 	g.slots = newSlots(cfg)
 	g.flight.idle = make(chan struct{})
 	g.shared = shared{
-		budget:    retry.NewBudget(retryShare),
-		issuer:    idempotency.NewIssuer(cfg.Addr, cfg.Incarnation, cfg.NoncePrefix),
-		ledger:    idempotency.NewLedger(cfg.Addr, cfg.Incarnation),
-		grants:    idempotency.NewGrantLog(cfg.Incarnation),
-		executors: make(map[netip.AddrPort]uint64),
+		budget:  retry.NewBudget(retryShare),
+		issuer:  idempotency.NewIssuer(cfg.Addr, cfg.Incarnation, cfg.NoncePrefix),
+		records: request.NewRecords(cfg.Addr, cfg.Incarnation),
 	}
 	return g, nil
 }
@@ -208,6 +202,13 @@
 	return g.draining.Load() || slices.Contains(spec.Draining, g.cfg.Addr)
 }
 
+// life returns the life that grants for this agent must name.
+func (g *Gateway) life() idempotency.Life {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.shared.records.Life()
+}
+
 // freshKey issues an idempotency key.
 func (g *Gateway) freshKey(id service.ID) string {
 	ring := g.cfg.Keys()
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/almondledge/almondledge/internal/idempotency"
+	"github.com/almondledge/almondledge/internal/request"
 	"github.com/almondledge/almondledge/internal/service"
 )
 
@@ -67,14 +68,11 @@
 		x.writeProblem(newProblem("bad-grant", http.StatusBadRequest, OutcomeNotRun, "Bad grant", err.Error()))
 		return
 	}
-	now := x.g.cfg.Now()
-	x.g.mu.Lock()
-	decision := x.g.shared.grants.Begin(now, grant, fingerprint(x.r, nil))
-	x.g.mu.Unlock()
+	x.print = fingerprint(x.r, nil)
+	decision := x.begin(request.Subject{Kind: request.ByGrant, Grant: grant})
 	if decision.Verdict != idempotency.Run {
 		x.answerVerdict(decision)
 		return
 	}
-	x.record = grantRecord{g: x.g, grant: grant}
 	x.runRecorded()
 }
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/almondledge/almondledge/internal/request"
@@ -14,17 +13,17 @@
 // writeProblem answers the exchange with p and a fresh key.
 func (x *exchange) writeProblem(p problem) {
 	x.addFreshKey()
-	if x.hops > 0 {
-		x.addPeerFields(p)
-	}
+	x.addPeerFields(p)
 	x.g.counters.outcomes[p.Outcome].Inc()
 	p.write(x.w)
 }
 
 // addPeerFields tells a peer what its next step depends on.
 func (x *exchange) addPeerFields(p problem) {
+	if x.hops == 0 {
+		return
+	}
 	h := x.w.Header()
-	h.Set(incarnationField, strconv.FormatUint(x.g.cfg.Incarnation, 10))
 	if p.retryAfter > 0 {
 		h.Set(relayRetryMsField, formatMillis(p.retryAfter))
 	}
@@ -34,9 +33,12 @@
 }
 
 // addFreshKey puts a fresh key into the answer, so that callers have one in
-// hand. Answers to peers need none: the caller's own agent adds its key.
+// hand. A peer gets the life of this agent: the caller's own agent adds its key.
 func (x *exchange) addFreshKey() {
-	if x.hops == 0 && x.spec.ID != 0 {
+	switch {
+	case x.hops > 0:
+		x.w.Header().Set(relayLifeField, x.g.life().String())
+	case x.spec.ID != 0:
 		x.w.Header().Set(KeyField, x.g.freshKey(x.spec.ID))
 	}
 }
@@ -47,7 +49,7 @@
 	if x.passPeerProblem() {
 		return
 	}
-	x.record.refuse()
+	x.settleRefused()
 	x.writeProblem(x.refusal(a))
 }
 
@@ -76,7 +78,7 @@
 	if x.passPeerProblem() {
 		return
 	}
-	x.record.lose()
+	x.settleUnknown()
 	status := http.StatusBadGateway
 	if a.Cause == request.CauseDeadline {
 		status = http.StatusGatewayTimeout
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -78,8 +78,8 @@
 		x.g.counters.relays.Inc()
 		x.newGrant(peer)
 	}
-	event, learned := x.ask(a, peer)
-	if learned {
+	event, again := x.ask(a, peer)
+	if again {
 		x.newGrant(peer)
 		event, _ = x.ask(a, peer)
 	}
@@ -95,18 +95,12 @@
 	}
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
-	x.g.shared.granted++
-	x.grant = idempotency.Grant{
-		Granter:     x.g.cfg.Addr,
-		Incarnation: x.g.cfg.Incarnation,
-		Number:      x.g.shared.granted,
-		Executor:    x.g.shared.executors[peer.Addr],
-	}
+	x.grant = x.g.shared.records.Grant(peer.Addr)
 }
 
-// ask sends one relayed request. It reports as learned that the peer told its
-// process life and ran nothing, so that a new grant can name it.
-func (x *exchange) ask(a request.Action, peer member.Member) (event request.Event, learned bool) {
+// ask sends one relayed request. It reports as again that nothing ran because
+// the grant named no life of the peer, and that a new grant can name it now.
+func (x *exchange) ask(a request.Action, peer member.Member) (event request.Event, again bool) {
 	base, err := url.Parse(x.g.cfg.PeerURL(peer))
 	if err != nil || x.ctx.Err() != nil || x.remaining() <= hopAllowance {
 		return request.Event{Kind: request.PeerUnreached}, false
@@ -121,19 +115,20 @@
 		return x.relayFailed(err), false
 	}
 	x.answer = &answer{response: response, body: body}
+	x.learnLife(peer, response)
 	event = x.readOutcome(a, response)
 	if event.Kind == request.AnswerStarted || x.forward && event.Kind != request.PeerLost {
 		return event, false
 	}
-	learned = event.Kind == request.PeerRefused && x.learnExecutor(peer, response)
+	again = response.Header.Get(relayLifeMissingField) != "" && x.grant.Executor == (idempotency.Life{})
 	x.dropAnswer()
-	return event, learned
+	return event, again
 }
 
 // relayBody returns the body of one relayed request. A grant that only asks
 // for the peer's process life carries none, because nothing runs under it.
 func (x *exchange) relayBody() *attemptBody {
-	if !x.repeatable && !x.forward && x.grant.Executor == 0 {
+	if !x.repeatable && !x.forward && x.grant.Executor == (idempotency.Life{}) {
 		return &attemptBody{}
 	}
 	return x.body.open()
@@ -196,15 +191,13 @@
 	return request.Event{Kind: request.AnswerStarted}
 }
 
-// learnExecutor notes the process life that a peer told, and reports whether it is new.
-func (x *exchange) learnExecutor(peer member.Member, response *http.Response) bool {
-	incarnation, err := strconv.ParseUint(response.Header.Get(incarnationField), 10, 64)
+// learnLife notes the life that a peer tells in its answer.
+func (x *exchange) learnLife(peer member.Member, response *http.Response) {
+	life, err := idempotency.ParseLife(response.Header.Get(relayLifeField))
 	if err != nil {
-		return false
+		return
 	}
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
-	known := x.g.shared.executors[peer.Addr]
-	x.g.shared.executors[peer.Addr] = incarnation
-	return known != incarnation && x.grant.Executor == 0
+	x.g.shared.records.Learn(peer.Addr, life)
 }
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -132,7 +132,7 @@
 	now := x.g.cfg.Now()
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
-	if x.g.shared.ledger.Spend(now, *x.key) {
+	if x.g.shared.records.Spend(now, *x.key) {
 		return OutcomeNotRun
 	}
 	return OutcomeUnknown
@@ -141,20 +141,15 @@
 // serveKeyed serves a request with a valid key: here if this agent granted the
 // key, else at the agent that did.
 func (x *exchange) serveKeyed() {
-	if x.key.Granter != x.g.cfg.Addr {
+	decision := x.begin(request.Subject{Kind: request.ByKey, Key: *x.key})
+	switch decision.Verdict {
+	case idempotency.Run:
+		x.runRecorded()
+	case idempotency.NotGranter:
 		x.serveForward()
-		return
-	}
-	now := x.g.cfg.Now()
-	x.g.mu.Lock()
-	decision := x.g.shared.ledger.Begin(now, *x.key, x.print)
-	x.g.mu.Unlock()
-	if decision.Verdict != idempotency.Run {
+	default:
 		x.answerVerdict(decision)
-		return
 	}
-	x.record = keyRecord{g: x.g, key: *x.key}
-	x.runRecorded()
 }
 
 // runRecorded runs a request whose record was begun just now.
@@ -196,9 +191,10 @@
 			"The request was refused before dispatch", "it was not run and will not be; send it with a fresh key"))
 	case idempotency.Full:
 		x.writeProblem(x.refusal(request.Action{Cause: request.CauseOverloaded}))
-	case idempotency.OtherIncarnation:
-		x.writeProblem(newProblem("other-incarnation", http.StatusConflict, OutcomeNotRun,
-			"The grant names no process life of this agent", "grant the request again for this process life"))
+	case idempotency.LifeMissing:
+		x.w.Header().Set(relayLifeMissingField, "1")
+		x.writeProblem(newProblem("life-missing", http.StatusConflict, OutcomeNotRun,
+			"The grant names no life of this agent", "grant the request again for the life in "+relayLifeField))
 	default:
 		x.writeProblem(unknownOutcome(http.StatusConflict,
 			"a request with this key may have run; check before you send it with a fresh key"))
--- a/internal/idempotency/grant.go
+++ b/internal/idempotency/grant.go
@@ -10,6 +10,38 @@
 	"github.com/almondledge/almondledge/internal/errkind"
 )
 
+// generationPeriod is how long one generation of a GrantLog takes grants as the
+// current one; it is remembered for as long again.
+const generationPeriod = 24 * time.Hour
+
+// Life identifies what an executor remembers: a process life, and a generation
+// within it. An executor that forgot an old generation refuses its grants.
+type Life struct {
+	// Incarnation identifies the process life. Zero is no life.
+	Incarnation uint64
+	// Generation counts the generations of the process life.
+	Generation uint64
+}
+
+// String returns the text form for the relay fields.
+func (l Life) String() string {
+	return fmt.Sprintf("%d.%d", l.Incarnation, l.Generation)
+}
+
+// ParseLife parses the text form.
+func ParseLife(text string) (Life, error) {
+	incarnation, generation, found := strings.Cut(text, ".")
+	first, err := strconv.ParseUint(incarnation, 10, 64)
+	if err != nil || !found {
+		return Life{}, errBadGrant
+	}
+	second, err := strconv.ParseUint(generation, 10, 64)
+	if err != nil {
+		return Life{}, errBadGrant
+	}
+	return Life{Incarnation: first, Generation: second}, nil
+}
+
 // Grant allows one peer, the executor, to dispatch one request once.
 type Grant struct {
 	// Granter is the agent that gives the grant.
@@ -18,14 +50,14 @@
 	Incarnation uint64
 	// Number numbers the grants of one incarnation.
 	Number uint64
-	// Executor identifies the process life of the peer that may run the request.
-	// Zero asks the peer for it; nothing runs under such a grant.
-	Executor uint64
+	// Executor is the life of the peer that may run the request. The zero Life
+	// asks the peer for it; nothing runs under such a grant.
+	Executor Life
 }
 
 // String returns the text form for the relay field.
 func (g Grant) String() string {
-	return fmt.Sprintf("%s/%d/%d/%d", g.Granter, g.Incarnation, g.Number, g.Executor)
+	return fmt.Sprintf("%s/%d/%d/%s", g.Granter, g.Incarnation, g.Number, g.Executor)
 }
 
 // ParseGrant parses the text form.
@@ -39,93 +71,119 @@
 		return Grant{}, errBadGrant
 	}
 	g := Grant{Granter: granter}
-	for i, into := range []*uint64{&g.Incarnation, &g.Number, &g.Executor} {
-		*into, err = strconv.ParseUint(fields[i+1], 10, 64)
-		if err != nil {
-			return Grant{}, errBadGrant
-		}
+	if g.Incarnation, err = strconv.ParseUint(fields[1], 10, 64); err != nil {
+		return Grant{}, errBadGrant
+	}
+	if g.Number, err = strconv.ParseUint(fields[2], 10, 64); err != nil {
+		return Grant{}, errBadGrant
 	}
-	return g, nil
+	g.Executor, err = ParseLife(fields[3])
+	return g, err
 }
 
 var errBadGrant = errkind.New(errkind.Invalid, "bad grant field in a relayed request",
 	"run the same release on all agents")
 
-// granterID identifies the process life of a granter.
+// granterID identifies the process life of a granter, as one generation knows it.
 type granterID struct {
 	addr        netip.AddrPort
 	incarnation uint64
+	generation  uint64
 }
 
 // GrantLog holds what became of the grants that one executor got. It is not
 // safe for concurrent use.
 type GrantLog struct {
-	incarnation uint64
-	tables      map[granterID]*table
-	room        *room
-	latest      time.Time
-	swept       time.Time
+	life    Life
+	tables  map[granterID]*table
+	room    *room
+	latest  time.Time
+	swept   time.Time
+	rotated time.Time
 }
 
 // NewGrantLog returns the empty GrantLog of the executor's process life incarnation.
 func NewGrantLog(incarnation uint64) *GrantLog {
 	r := &room{maxRecords: maxRecords, maxBytes: maxAnswerBytes}
-	return &GrantLog{incarnation: incarnation, tables: make(map[granterID]*table), room: r}
+	return &GrantLog{life: Life{Incarnation: incarnation}, tables: make(map[granterID]*table), room: r}
 }
 
+// Life returns the life that new grants must name.
+func (l *GrantLog) Life() Life { return l.life }
+
 // Begin decides what happens to a request under grant g. The request that gets
 // the verdict Run must be settled by exactly one of Refuse, Finish and Lose.
 func (l *GrantLog) Begin(now time.Time, g Grant, fp Fingerprint) Decision {
 	now = l.advance(now)
-	if g.Executor == 0 {
-		return Decision{Verdict: OtherIncarnation}
+	if g.Executor == (Life{}) {
+		return Decision{Verdict: LifeMissing}
 	}
-	// An earlier process life may have run it; its log is gone.
-	if g.Executor != l.incarnation {
+	// An earlier life may have run it; what it knew is gone.
+	if g.Executor.Incarnation != l.life.Incarnation || g.Executor.Generation+1 < l.life.Generation {
 		return Decision{Verdict: OutcomeUnknown}
 	}
-	return l.table(g).begin(now, g.Number, fp)
+	id := idOf(g)
+	if l.tables[id] == nil {
+		l.tables[id] = newTable(l.room)
+	}
+	return l.tables[id].begin(now, g.Number, fp)
 }
 
 // Refuse records that the grant's request certainly was not dispatched and
 // never will be.
 func (l *GrantLog) Refuse(now time.Time, g Grant) {
-	l.table(g).refuse(l.advance(now), g.Number)
+	if t := l.tables[idOf(g)]; t != nil {
+		t.refuse(l.advance(now), g.Number)
+	}
 }
 
 // Finish records the answer of the grant's request.
 func (l *GrantLog) Finish(now time.Time, g Grant, o Outcome) {
-	l.table(g).finish(l.advance(now), g.Number, o)
+	if t := l.tables[idOf(g)]; t != nil {
+		t.finish(l.advance(now), g.Number, o)
+	}
 }
 
 // Lose records that the grant's request may have run and its outcome is unknown.
 func (l *GrantLog) Lose(now time.Time, g Grant) {
-	l.table(g).lose(l.advance(now), g.Number)
+	if t := l.tables[idOf(g)]; t != nil {
+		t.lose(l.advance(now), g.Number)
+	}
 }
 
-func (l *GrantLog) table(g Grant) *table {
-	id := granterID{addr: g.Granter, incarnation: g.Incarnation}
-	t := l.tables[id]
-	if t == nil {
-		t = newTable(l.room)
-		l.tables[id] = t
-	}
-	return t
+func idOf(g Grant) granterID {
+	return granterID{addr: g.Granter, incarnation: g.Incarnation, generation: g.Executor.Generation}
 }
 
 func (l *GrantLog) advance(now time.Time) time.Time {
 	if now.After(l.latest) {
 		l.latest = now
 	}
-	if l.latest.Sub(l.swept) < expireInterval {
-		return l.latest
+	if l.rotated.IsZero() {
+		l.rotated = l.latest
 	}
-	l.swept = l.latest
+	if l.latest.Sub(l.swept) >= expireInterval {
+		l.swept = l.latest
+		l.rotate()
+		for _, t := range l.tables {
+			t.expire(l.latest)
+		}
+	}
+	return l.latest
+}
+
+// rotate starts new generations as time passes and forgets all but the last two.
+func (l *GrantLog) rotate() {
+	passed := l.latest.Sub(l.rotated) / generationPeriod
+	if passed == 0 {
+		return
+	}
+	l.rotated = l.rotated.Add(passed * generationPeriod)
+	l.life.Generation += uint64(passed)
 	for id, t := range l.tables {
-		t.expire(l.latest)
-		if len(t.marks) == 0 && len(t.records) == 0 {
+		if id.generation+1 < l.life.Generation {
+			t.clear()
 			delete(l.tables, id)
 		}
 	}
-	return l.latest
 }
--- a/internal/idempotency/table.go
+++ b/internal/idempotency/table.go
@@ -55,9 +55,9 @@
 	RefusedBefore
 	// Full means that there is no room for another record; the key is refused for good.
 	Full
-	// OtherIncarnation means that the grant names no process life of the
-	// executor; nothing can have run under it.
-	OtherIncarnation
+	// LifeMissing means that the grant names no life of the executor; nothing
+	// can have run under it.
+	LifeMissing
 )
 
 // Decision is a verdict with the outcome for Replay.
@@ -181,15 +181,21 @@
 	rec.settled = now
 }
 
-// expire forgets settled records after their retention, and marks after the
-// lifetime of a key. A record of a request under way is never forgotten.
+// expire forgets settled records after their retention; their marks stay. A
+// record of a request under way is never forgotten.
 func (t *table) expire(now time.Time) {
 	for n, rec := range t.records {
 		if rec.state != begun && now.Sub(rec.settled) >= recordRetention {
 			t.drop(n, rec)
 		}
 	}
-	t.marks.expire(now.Add(-KeyLifetime))
+}
+
+// clear gives back the room of all records.
+func (t *table) clear() {
+	for n, rec := range t.records {
+		t.drop(n, rec)
+	}
 }
 
 func (t *table) drop(n uint64, rec *record) {
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -161,7 +161,9 @@
 	state   State
 	attempt int
 	// peer is the number of peers tried so far.
-	peer    int
+	peer int
+	// onPeer reports that the current attempt is at a peer.
+	onPeer  bool
 	reasks  int
 	retries int
 	// mayHaveRun is set by the first attempt whose outcome is not certain.
@@ -265,9 +267,17 @@
 		m.mayHaveRun = false
 		return m.end(RefuseNotRun, causeOf(e))
 	}
+	if m.reasks > 0 && e.Kind == PeerUnreached {
+		// Only this ask was not sent; the one before it may have run.
+		return m.lost(now, e)
+	}
+	if m.reasks > 0 {
+		// A peer that refused a grant never runs it, earlier asks included.
+		m.mayHaveRun = false
+	}
 	m.state = Received
 	if e.BodySpent {
-		return m.end(RefuseNotRun, causeOf(e))
+		return m.refuse(causeOf(e))
 	}
 	return m.afterRefusal(now, e)
 }
@@ -276,7 +286,7 @@
 // be asked again for the same attempt.
 func (m *Machine) lost(now time.Time, e Event) Action {
 	m.mayHaveRun = true
-	if m.reasks < m.route.Reasks && !e.BodySpent {
+	if m.onPeer && m.reasks < m.route.Reasks && !e.BodySpent {
 		wait, ok := retry.Backoff(m.reasks+1, e.Random, now, m.route.Deadline)
 		if ok {
 			m.reasks++
@@ -323,7 +333,6 @@
 func (m *Machine) elsewhere() Action {
 	if m.peer < m.route.Peers {
 		m.peer++
-		m.reasks = 0
 		return m.send(Action{Kind: Relay, Peer: m.peer - 1})
 	}
 	// A draining agent serves a request itself only when no peer can be reached.
@@ -338,6 +347,8 @@
 func (m *Machine) send(a Action) Action {
 	m.attempt++
 	m.state = Dispatched
+	m.onPeer = a.Kind == Relay
+	m.reasks = 0
 	a.Attempt = m.attempt
 	return a
 }
