--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,188 @@
+// Package demo runs a small deployment of almondledge in one process, on
+// loopback sockets: the stand-ins of the platform, balancers, agents and
+// backend servers. Callers work on it while one backend server is taken out of
+// service, a balancer is killed and limits change; then it says what the
+// callers got, and whether a promise was broken.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+)
+
+// Options are what the demo gets from the command line.
+type Options struct {
+	// Port is the first of the ports that are used on each address. Zero tries
+	// several choices.
+	Port uint16
+	// Out gets progress and the report.
+	Out io.Writer
+	// Logs gets the logs of the processes. Nil discards them.
+	Logs io.Writer
+}
+
+// Run runs the demo and returns an error if a promise was broken, or if the
+// demo could not be carried out.
+func Run(ctx context.Context, options Options) error {
+	began := time.Now()
+	out := &printer{w: options.Out, began: began}
+	d, err := startStandins(options.Port, options.Logs)
+	if err != nil {
+		return err
+	}
+	defer d.stop()
+	out.event("Birlik, scaled down, in one process on 127.1.x.y, ports %d to %d", d.ports, int(d.ports)+portCount-1)
+	r := &run{deployment: d, out: out}
+	if err := r.start(ctx); err != nil {
+		return err
+	}
+	if err := r.drive(ctx); err != nil {
+		return err
+	}
+	out.report(&r.result, r.drainWindows())
+	lines := r.result.broken()
+	for _, line := range lines {
+		out.line("BROKEN: %s", line)
+	}
+	if len(lines) > 0 {
+		return errkind.New(errkind.Unavailable, fmt.Sprintf("%d promises were broken", len(lines)),
+			"see the lines above; run again with --verbose for the logs of the processes")
+	}
+	out.line("No promise was broken. The demo took %.1f s.", time.Since(began).Seconds())
+	return nil
+}
+
+// run is one run of the demo.
+type run struct {
+	*deployment
+	out       *printer
+	revisions *revisions
+	callers   []*callers
+	// began is when traffic began, drainedAt when the drain was ordered.
+	began, drainedAt time.Time
+	// servedBefore is what the drained backend server had served at the end of the grace.
+	servedBefore uint64
+	result       result
+}
+
+// start starts the deployment and creates the services.
+func (r *run) start(ctx context.Context) error {
+	if err := r.startBalancers(ctx); err != nil {
+		return err
+	}
+	r.out.event("%d balancers are ready in %v", balancers, dataCentres)
+	r.revisions = newRevisions(r.observeBalancers())
+	watching, stop := context.WithCancel(ctx)
+	defer stop()
+	go r.revisions.watch(watching)
+	ticket, err := r.createServices(ctx, r.revisions)
+	if err != nil {
+		return err
+	}
+	r.ticket(ticket)
+	if err := r.startHosts(ctx); err != nil {
+		return err
+	}
+	for _, s := range services {
+		r.out.event("%d backend servers of %s have announced themselves", s.hosts, s.name)
+	}
+	return nil
+}
+
+// drive runs traffic and the events, and collects the result.
+func (r *run) drive(ctx context.Context) error {
+	r.revisions = newRevisions(append(r.observeBalancers(), r.observeAgents()...))
+	watching, stopWatching := context.WithCancel(ctx)
+	defer stopWatching()
+	go r.revisions.watch(watching)
+	r.began = time.Now()
+	traffic, stopTraffic := context.WithTimeout(ctx, trafficTime)
+	defer stopTraffic()
+	if err := r.beginTraffic(traffic); err != nil {
+		return err
+	}
+	reporting, stopReporting := context.WithCancel(ctx)
+	go r.reportProgress(reporting)
+	events := make(chan struct{})
+	go func() {
+		defer close(events)
+		r.playEvents(ctx)
+	}()
+	for _, c := range r.callers {
+		c.wait()
+	}
+	<-events
+	stopReporting()
+	if err := ctx.Err(); err != nil {
+		return errkind.Wrap(err, errkind.Expired, "the demo was interrupted", "run it again")
+	}
+	r.collect()
+	return nil
+}
+
+func (r *run) beginTraffic(ctx context.Context) error {
+	for _, s := range services {
+		m := mixes[s.name]
+		c := &callers{
+			service: s.name, address: r.ports.service(s), tls: callerTLS(r.keys), mix: m,
+			recorder: newRecorder(r.began, s.name, m.planned()),
+		}
+		if err := c.begin(ctx); err != nil {
+			return err
+		}
+		r.callers = append(r.callers, c)
+	}
+	return nil
+}
+
+// collect compares what callers were told with the ledgers of the backend servers.
+func (r *run) collect() {
+	counts := make(map[string]int)
+	for _, h := range r.hosts {
+		for _, entry := range h.server.Ledger().Runs() {
+			counts[entry.Booking]++
+		}
+	}
+	for _, c := range r.callers {
+		r.result.services = append(r.result.services, c.recorder.close(counts))
+	}
+	r.result.reverts = r.revisions.reverted()
+	if err := r.failure(); err != nil {
+		r.result.problems = append(r.result.problems, err.Error())
+	}
+}
+
+func (r *run) observeBalancers() []observed {
+	var all []observed
+	for _, b := range r.balancers {
+		all = append(all, observed{task: b.task, revision: func() int64 { return b.balancer.Driver().Catalog().Revision() }})
+	}
+	return all
+}
+
+func (r *run) observeAgents() []observed {
+	var all []observed
+	for _, h := range r.hosts {
+		all = append(all, observed{task: h.task, revision: h.agent.Revision})
+	}
+	return all
+}
+
+// ticket notes a ticket and prints it.
+func (r *run) ticket(t ticketResult) {
+	r.result.tickets = append(r.result.tickets, t)
+	r.out.event("ticket %d in force at all %d processes after %v: %s", len(r.result.tickets), t.processes, t.after.Round(time.Millisecond), t.what)
+}
+
+// drainWindows returns the seconds of the run in which the drain was under way.
+func (r *run) drainWindows() change {
+	if r.drainedAt.IsZero() {
+		return change{}
+	}
+	from := r.drainedAt.Sub(r.began)
+	return change{server: r.result.drained, from: int(from / time.Second), settled: int((from+drainGrace)/time.Second) + 1}
+}
--- /dev/null
+++ b/internal/demo/revisions.go
@@ -0,0 +1,98 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+)
+
+// revisionPoll is the time between two looks at the configuration in force.
+const revisionPoll = 5 * time.Millisecond
+
+// observed is a process whose configuration in force is watched.
+type observed struct {
+	task     *task
+	revision func() int64
+}
+
+// revisions watches the revision in force at every process, and notes every
+// process that goes back to an older one.
+type revisions struct {
+	processes []observed
+
+	mu      sync.Mutex // guards the fields below
+	last    map[string]int64
+	reverts []string
+}
+
+func newRevisions(processes []observed) *revisions {
+	return &revisions{processes: processes, last: make(map[string]int64)}
+}
+
+// watch looks at all processes until ctx ends.
+func (r *revisions) watch(ctx context.Context) {
+	ticker := time.NewTicker(revisionPoll)
+	defer ticker.Stop()
+	for {
+		r.look()
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *revisions) look() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.processes {
+		if !p.task.running() {
+			continue
+		}
+		now := p.revision()
+		if before := r.last[p.task.name]; now < before {
+			r.reverts = append(r.reverts, fmt.Sprintf("%s from revision %d to %d", p.task.name, before, now))
+		}
+		r.last[p.task.name] = now
+	}
+}
+
+// lagging returns the number of running processes and the names of those that
+// do not have a revision in force yet.
+func (r *revisions) lagging(revision int64) (running int, names []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.processes {
+		if !p.task.running() {
+			continue
+		}
+		running++
+		if r.last[p.task.name] < revision {
+			names = append(names, p.task.name)
+		}
+	}
+	return running, names
+}
+
+// reverted returns the processes that went back, in words.
+func (r *revisions) reverted() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.reverts...)
+}
+
+// await waits until a revision is in force at every running process, for at
+// most bound after since.
+func (r *revisions) await(ctx context.Context, what string, since time.Time, revision int64) ticketResult {
+	ctx, cancel := context.WithDeadline(ctx, since.Add(ticketBound))
+	defer cancel()
+	for {
+		processes, lagging := r.lagging(revision)
+		done := len(lagging) == 0
+		if done || !sleepUntil(ctx, time.Now().Add(revisionPoll)) {
+			return ticketResult{what: what, processes: processes, lagging: lagging, after: time.Since(since)}
+		}
+	}
+}
