--- a/internal/demo/booking.go
+++ b/internal/demo/booking.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/almondledge/almondledge/internal/lab/caller"
@@ -103,34 +104,50 @@
 	// than once, ran although the caller was told "not run", and were confirmed
 	// without a run.
 	twice, notRunThatRan, confirmedWithoutRun []string
+	// elsewhere names those that ran at a backend server of another service.
+	elsewhere []string
 }
 
-// checkBookings compares the attempts of each booking with the runs in the ledgers.
-func checkBookings(bookings [][]attempt, runs map[string]int) bookingCheck {
+// ledger holds the names of the backend servers that ran each booking, once
+// for each run.
+type ledger map[string][]string
+
+// checkBookings compares the attempts of each booking with the ledgers. The
+// servers are those of the service that was asked.
+func checkBookings(bookings [][]attempt, runs ledger, servers []string) bookingCheck {
 	check := bookingCheck{made: len(bookings)}
 	for _, attempts := range bookings {
-		total, doubtful := 0, false
-		for _, a := range attempts {
-			total += runs[a.name]
-			doubtful = doubtful || a.doubtful
-			saidNotRun := a.last == caller.NotRun || a.last == caller.KeyNeeded
-			if saidNotRun && runs[a.name] > 0 {
-				check.notRunThatRan = append(check.notRunThatRan, a.name)
-			}
+		check.add(attempts, runs, servers)
+	}
+	return check
+}
+
+func (c *bookingCheck) add(attempts []attempt, runs ledger, servers []string) {
+	total, doubtful := 0, false
+	for _, a := range attempts {
+		total += len(runs[a.name])
+		doubtful = doubtful || a.doubtful
+		saidNotRun := a.last == caller.NotRun || a.last == caller.KeyNeeded
+		if saidNotRun && len(runs[a.name]) > 0 {
+			c.notRunThatRan = append(c.notRunThatRan, a.name)
 		}
-		last := attempts[len(attempts)-1]
-		if last.last == caller.Answered {
-			check.confirmed++
-			if runs[last.name] == 0 {
-				check.confirmedWithoutRun = append(check.confirmedWithoutRun, last.name)
+		for _, server := range runs[a.name] {
+			if !slices.Contains(servers, server) {
+				c.elsewhere = append(c.elsewhere, a.name)
 			}
 		}
-		if total > 1 {
-			check.twice = append(check.twice, last.name)
-		}
-		if doubtful {
-			check.repeated++
+	}
+	last := attempts[len(attempts)-1]
+	if last.last == caller.Answered {
+		c.confirmed++
+		if len(runs[last.name]) == 0 {
+			c.confirmedWithoutRun = append(c.confirmedWithoutRun, last.name)
 		}
 	}
-	return check
+	if total > 1 {
+		c.twice = append(c.twice, last.name)
+	}
+	if doubtful {
+		c.repeated++
+	}
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -49,7 +49,8 @@
 		out.line("BROKEN: %s", line)
 	}
 	if len(lines) > 0 {
-		return errkind.New(errkind.Unavailable, fmt.Sprintf("%d promises were broken", len(lines)),
+		out.samples(r.result.services)
+		return errkind.New(errkind.Unavailable, fmt.Sprintf("%d checks failed", len(lines)),
 			"see the lines above; run again with --verbose for the logs of the processes")
 	}
 	out.line("No promise was broken. The demo took %.1f s.", time.Since(began).Seconds())
@@ -141,14 +142,14 @@
 
 // collect compares what callers were told with the ledgers of the backend servers.
 func (r *run) collect() {
-	counts := make(map[string]int)
+	runs := make(ledger)
 	for _, h := range r.hosts {
 		for _, entry := range h.server.Ledger().Runs() {
-			counts[entry.Booking]++
+			runs[entry.Booking] = append(runs[entry.Booking], entry.Server)
 		}
 	}
 	for _, c := range r.callers {
-		r.result.services = append(r.result.services, c.recorder.close(counts))
+		r.result.services = append(r.result.services, c.recorder.close(runs))
 	}
 	r.result.reverts = r.revisions.reverted()
 	if err := r.failure(); err != nil {
@@ -175,7 +176,7 @@
 // ticket notes a ticket and prints it.
 func (r *run) ticket(t ticketResult) {
 	r.result.tickets = append(r.result.tickets, t)
-	r.out.event("ticket %d in force at all %d processes after %v: %s", len(r.result.tickets), t.processes, t.after.Round(time.Millisecond), t.what)
+	r.out.event("ticket %d: %s; %s", len(r.result.tickets), t.what, t.spread())
 }
 
 // drainWindows returns the seconds of the run in which the drain was under way.
--- a/internal/demo/events.go
+++ b/internal/demo/events.go
@@ -12,6 +12,8 @@
 	killAt        = 9 * time.Second
 	fabricNotices = time.Second
 	limitsAt      = 12 * time.Second
+	// disturbance is the time after the kill in which latency shows its effect.
+	disturbance = 3 * time.Second
 	// leaveBound is the time in which the graceful stop of an agent must end.
 	leaveBound = 8 * time.Second
 )
--- a/internal/demo/place.go
+++ b/internal/demo/place.go
@@ -101,6 +101,16 @@
 	return owner
 }
 
+// serverNames returns the names of the backend servers of a service.
+func serverNames(name string) []string {
+	for _, s := range services {
+		if s.name == name {
+			return s.serverNames()
+		}
+	}
+	return nil
+}
+
 // callerTLS returns the TLS configuration of callers.
 func callerTLS(keys *localfleet.Fleet) *tls.Config {
 	pool := x509.NewCertPool()
--- a/internal/demo/ports.go
+++ b/internal/demo/ports.go
@@ -21,8 +21,9 @@
 	portChoices = 10
 	// portCount is the number of ports that one deployment uses on each address.
 	portCount = 7
-	// MaxPort is the largest first port.
-	MaxPort = 1<<16 - portCount
+	// minPort and maxPort bound the first port.
+	minPort = 1024
+	maxPort = 1<<16 - portCount
 )
 
 // ports is the first of the ports of a deployment.
@@ -78,6 +79,10 @@
 // several choices, any other value only that one.
 func choosePorts(first uint16) (ports, *platform.Server, error) {
 	if first != 0 {
+		if first < minPort || first > maxPort {
+			return 0, nil, errkind.New(errkind.Invalid, fmt.Sprintf("%d cannot be the first of %d ports", first, portCount),
+				fmt.Sprintf("use --port %d to %d", minPort, maxPort))
+		}
 		return tryPorts(ports(first))
 	}
 	var last error
@@ -97,7 +102,8 @@
 		return 0, nil, portError(p, err)
 	}
 	if err := p.checkFree(); err != nil {
-		return 0, nil, portError(p, errors.Join(err, store.Close()))
+		_ = store.Close()
+		return 0, nil, portError(p, err)
 	}
 	return p, store, nil
 }
@@ -128,6 +134,10 @@
 		return errkind.Wrap(cause, errkind.Unavailable, "this machine has no addresses 127.1.x.y",
 			"run the demo on Linux, where all of 127.0.0.0/8 is local")
 	}
+	// The remedy of the cause speaks of settings, which the demo has none of.
+	if typed, ok := errors.AsType[*errkind.Error](cause); ok && typed.Cause != nil {
+		cause = typed.Cause
+	}
 	return errkind.Wrap(cause, errkind.Unavailable,
 		fmt.Sprintf("ports %d to %d on 127.1.x.y are not all free", p, p+portCount-1),
 		"end the process that uses them, such as another demo, or choose others with --port")
--- a/internal/demo/recorder.go
+++ b/internal/demo/recorder.go
@@ -26,7 +26,7 @@
 	r := &recorder{start: start, owner: serviceOf()}
 	r.result = serviceResult{name: name, planned: planned, classes: make(map[class]*classResult)}
 	for _, c := range planned {
-		r.result.classes[c] = &classResult{verdicts: make(map[caller.Verdict]int), latency: newHistogram()}
+		r.result.classes[c] = &classResult{verdicts: make(map[caller.Verdict]int), latency: newHistogram(), calm: newHistogram()}
 	}
 	return r
 }
@@ -55,16 +55,21 @@
 // finish notes the last answer to a request. Its latency runs from the intended
 // start, so that a stall is not hidden by requests that were sent late.
 func (r *recorder) finish(c class, intended time.Time, a caller.Answer) {
-	micros := time.Since(intended).Microseconds()
+	now := time.Now()
+	micros := min(max(now.Sub(intended).Microseconds(), minLatencyMicros), maxLatencyMicros)
+	calm := now.Before(r.start.Add(killAt)) || intended.After(r.start.Add(killAt+disturbance))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	result := r.result.classes[c]
 	result.verdicts[a.Verdict]++
-	if a.Verdict == caller.Answered {
-		_ = result.latency.RecordValue(min(max(micros, minLatencyMicros), maxLatencyMicros)) // within the bounds
+	if a.Verdict != caller.Answered {
+		r.sample(fmt.Sprintf("%s %s: %v", c, a.Verdict, a.Err))
 		return
 	}
-	r.sample(fmt.Sprintf("%s %s: %v", c, a.Verdict, a.Err))
+	_ = result.latency.RecordValue(micros) // within the bounds
+	if calm {
+		_ = result.calm.RecordValue(micros)
+	}
 }
 
 // ended notes the end of a connection that its caller did not end.
@@ -107,9 +112,10 @@
 }
 
 // close returns the result, with the bookings compared to the ledgers.
-func (r *recorder) close(runs map[string]int) *serviceResult {
+func (r *recorder) close(runs ledger) *serviceResult {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.result.bookings = checkBookings(r.bookings, runs)
+	r.result.bookings = checkBookings(r.bookings, runs, serverNames(r.result.name))
+	r.result.wrongService += len(r.result.bookings.elsewhere)
 	return &r.result
 }
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -9,6 +9,8 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"github.com/almondledge/almondledge/internal/lab/caller"
 )
 
@@ -67,11 +69,20 @@
 	_ = table.Flush()
 	_, _ = fmt.Fprintln(p.w)
 	for i, t := range r.tickets {
-		_, _ = fmt.Fprintf(p.w, "ticket %d (%s) was in force at all %d processes after %v\n", i+1, t.what, t.processes, t.after.Round(time.Millisecond))
+		_, _ = fmt.Fprintf(p.w, "ticket %d (%s): %s\n", i+1, t.what, t.spread())
 	}
 	_, _ = fmt.Fprintf(p.w, "new requests at %s later than %v after its drain: %d\n\n", r.drained, drainGrace, r.lateWork)
 }
 
+// samples writes some of the failures that callers saw.
+func (p *printer) samples(services []*serviceResult) {
+	for _, s := range services {
+		for _, sample := range s.samples {
+			p.line("seen by a caller of %s at %s", s.name, sample)
+		}
+	}
+}
+
 // rows returns the rows of the table, one column for each service.
 func rows(r *result, drain change) [][]string {
 	var out [][]string
@@ -95,14 +106,20 @@
 	number("told \"not run\" and sent again", func(s *serviceResult) int { return s.notRun })
 	number("not served in the end", (*serviceResult).unserved)
 	number("bookings confirmed", func(s *serviceResult) int { return s.bookings.confirmed })
+	number("bookings repeated, outcome left open", func(s *serviceResult) int { return s.bookings.repeated })
 	number("booked twice", func(s *serviceResult) int { return len(s.bookings.twice) })
 	number("told \"not run\" that ran", func(s *serviceResult) int { return len(s.bookings.notRunThatRan) })
 	number("bookings of unknown outcome", func(s *serviceResult) int { return s.count(caller.Unknown) })
 	add("imbalance, busiest over mean, median s", func(s *serviceResult) string { return imbalanceCell(s, drain, false) })
 	add("imbalance, busiest over mean, worst s", func(s *serviceResult) string { return imbalanceCell(s, drain, true) })
 	for _, c := range classes {
-		add(fmt.Sprintf("%s p50 / p99, ms", c), func(s *serviceResult) string { return latencyCell(s, c) })
+		add(fmt.Sprintf("%s p50 / p99, ms", c), func(s *serviceResult) string {
+			return latencyCell(s.classes[c], func(r *classResult) *hdrhistogram.Histogram { return r.latency })
+		})
 	}
+	add(fmt.Sprintf("desk without the %v after the kill", disturbance), func(s *serviceResult) string {
+		return latencyCell(s.classes[classDesk], func(r *classResult) *hdrhistogram.Histogram { return r.calm })
+	})
 	return out
 }
 
@@ -114,21 +131,10 @@
 	return fmt.Sprintf("%.2f", median)
 }
 
-func latencyCell(s *serviceResult, c class) string {
-	result := s.classes[c]
-	if result == nil || result.latency.TotalCount() == 0 {
+func latencyCell(r *classResult, pick func(*classResult) *hdrhistogram.Histogram) string {
+	if r == nil || pick(r).TotalCount() == 0 {
 		return "-"
 	}
-	millis := func(percent float64) float64 { return float64(result.latency.ValueAtPercentile(percent)) / 1000 }
+	millis := func(percent float64) float64 { return float64(pick(r).ValueAtPercentile(percent)) / 1000 }
 	return fmt.Sprintf("%.1f / %.1f", millis(50), millis(99))
 }
-
-// serverNames returns the names of the backend servers of a service.
-func serverNames(name string) []string {
-	for _, s := range services {
-		if s.name == name {
-			return s.serverNames()
-		}
-	}
-	return nil
-}
--- a/internal/demo/result.go
+++ b/internal/demo/result.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -27,6 +28,9 @@
 	// verdicts counts requests by their last answer.
 	verdicts map[caller.Verdict]int
 	latency  *hdrhistogram.Histogram
+	// calm is the latency of requests that ended before the kill of a balancer
+	// or began later than disturbance after it.
+	calm *hdrhistogram.Histogram
 }
 
 // serviceResult is what the callers of one service got.
@@ -82,6 +86,15 @@
 	after time.Duration
 }
 
+// spread says how far the ticket came.
+func (t ticketResult) spread() string {
+	after := t.after.Round(time.Millisecond)
+	if len(t.lagging) > 0 {
+		return fmt.Sprintf("not in force at %d of %d processes after %v", len(t.lagging), t.processes, after)
+	}
+	return fmt.Sprintf("in force at all %d processes after %v", t.processes, after)
+}
+
 // result is all that the demo found out.
 type result struct {
 	services []*serviceResult
--- a/internal/demo/verdict.go
+++ b/internal/demo/verdict.go
@@ -67,9 +67,6 @@
 			lines = append(lines, fmt.Sprintf("%s: %d %s", s.name, c.count, c.what))
 		}
 	}
-	if len(lines) > 0 && len(s.samples) > 0 {
-		lines = append(lines, fmt.Sprintf("%s: seen%s", s.name, list(s.samples)))
-	}
 	for _, c := range s.planned {
 		if got := s.classes[c]; got == nil || got.verdicts[caller.Answered] == 0 {
 			lines = append(lines, fmt.Sprintf("%s: no %s request was answered", s.name, c))
