--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -4,9 +4,7 @@
 	"context"
 	"fmt"
 	"io"
-	"strings"
 	"sync"
-	"text/tabwriter"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -16,8 +14,9 @@
 
 const (
 	progressPeriod = time.Second
-	// columnGap is the number of spaces between columns.
-	columnGap = 2
+	// nameWidth and cellWidth are the widths of columns, in characters.
+	nameWidth = 44
+	cellWidth = 18
 )
 
 // printer writes progress and the report. It is safe for concurrent use.
@@ -57,21 +56,26 @@
 
 // report writes the tables.
 func (p *printer) report(r *result, drain change) {
-	var text strings.Builder
-	text.WriteString("\n\t" + bookingService + "\t" + bulletinService + "\t\n")
+	p.line("")
+	p.row("", services[0].name, services[1].name)
 	for _, row := range rows(r, drain) {
-		text.WriteString(strings.Join(row, "\t") + "\t\n")
+		p.row(row[0], row[1:]...)
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	table := tabwriter.NewWriter(p.w, 0, 0, columnGap, ' ', tabwriter.AlignRight)
-	_, _ = io.WriteString(table, text.String())
-	_ = table.Flush()
-	_, _ = fmt.Fprintln(p.w)
+	p.line("")
 	for i, t := range r.tickets {
-		_, _ = fmt.Fprintf(p.w, "ticket %d (%s): %s\n", i+1, t.what, t.spread())
+		p.line("ticket %d (%s): %s", i+1, t.what, t.spread())
+	}
+	p.line("new requests at %s later than %v after its drain: %d", r.drained, drainGrace, r.lateWork)
+	p.line("")
+}
+
+// row writes a name and one cell for each service.
+func (p *printer) row(name string, cells ...string) {
+	text := fmt.Sprintf("%-*s", nameWidth, name)
+	for _, cell := range cells {
+		text += fmt.Sprintf(" %*s", cellWidth, cell)
 	}
-	_, _ = fmt.Fprintf(p.w, "new requests at %s later than %v after its drain: %d\n\n", r.drained, drainGrace, r.lateWork)
+	p.line("%s", text)
 }
 
 // samples writes some of the failures that callers saw.
@@ -117,7 +121,7 @@
 			return latencyCell(s.classes[c], func(r *classResult) *hdrhistogram.Histogram { return r.latency })
 		})
 	}
-	add(fmt.Sprintf("desk without the %v after the kill", disturbance), func(s *serviceResult) string {
+	add(fmt.Sprintf("desk p50 / p99, without %v after the kill", disturbance), func(s *serviceResult) string {
 		return latencyCell(s.classes[classDesk], func(r *classResult) *hdrhistogram.Histogram { return r.calm })
 	})
 	return out
