Roster: a few leased addresses per data centre for first contact

Cause: a process that starts needs a first peer, and there is no list of processes. Ruled out: a place per balancer (renewals would grow with the fleet); a claim that only trusts its lease (a balancer frozen between its read and its claim would push out the one that came after). Found by its tests: the stand-in compared a removed key by the revision of its removal instead of zero; it now answers as the protocol says. A test that gives the name of a removed service to a new one covers this for tickets. Also: the client no longer keeps the HTTP transport from sending a POST on another connection when nothing of it was written. Seen to fail, each with the code broken by hand: a claim without comparison (TestPausedClaim), a lapse not noticed from the store (TestPausedHolder) or from the clock (TestLapseIsNoticedWithoutTheStore), a second place after a restart (TestRestartedBalancer), a place kept on leaving (four tests).

--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,228 @@
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+
+	"github.com/almondledge/almondledge/internal/standin/platform"
+	"github.com/almondledge/almondledge/internal/store"
+	"github.com/almondledge/almondledge/internal/store/etcd"
+)
+
+const testDataCentre = "bodrum"
+
+var settings = []netip.AddrPort{netip.MustParseAddrPort("127.0.1.1:4000")}
+
+// deployment is a few balancers of one data centre on one store.
+type deployment struct {
+	platform *platform.Platform
+	store    store.Store
+	group    sync.WaitGroup
+}
+
+// pausing is a store whose caller freezes before a renewal or a claim.
+type pausing struct {
+	store.Store
+	renewal, claim chan time.Duration
+}
+
+func pause(freeze <-chan time.Duration) {
+	select {
+	case d := <-freeze:
+		time.Sleep(d)
+	default:
+	}
+}
+
+// KeepAlive implements store.Store.
+func (p *pausing) KeepAlive(ctx context.Context, id store.LeaseID) error {
+	pause(p.renewal)
+	return p.Store.KeepAlive(ctx, id)
+}
+
+// Commit implements store.Store.
+func (p *pausing) Commit(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
+	pause(p.claim)
+	if p.claim != nil {
+		txn.Puts[0].Lease = 0 // the strictest case: no lapsed lease stops the claim
+	}
+	return p.Store.Commit(ctx, txn)
+}
+
+func (d *deployment) newStore() store.Store {
+	client, err := etcd.New(etcd.Config{Endpoints: []string{"http://platform"}, Transport: platform.Transport{Platform: d.platform}})
+	if err != nil {
+		panic(err)
+	}
+	return client
+}
+
+// start runs a balancer until ctx ends.
+func (d *deployment) start(ctx context.Context, number byte, st store.Store) netip.AddrPort {
+	self := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 2, number}), 4000)
+	random := rand.New(rand.NewPCG(1, uint64(number)))
+	logger := &log.Logger{Handler: discard.New()}
+	d.group.Go(func() {
+		Run(ctx, Config{Store: st, DataCentre: testDataCentre, Self: self, Random: random.Float64, Log: logger})
+	})
+	return self
+}
+
+// places returns who holds each place.
+func (d *deployment) places(t *testing.T) map[string]netip.AddrPort {
+	t.Helper()
+	snapshot, err := d.store.Range(t.Context(), Prefix)
+	if err != nil {
+		t.Fatal(err)
+	}
+	places := make(map[string]netip.AddrPort)
+	for _, entry := range snapshot.Entries {
+		var value Entry
+		if err := json.Unmarshal(entry.Value, &value); err != nil {
+			t.Fatal(err)
+		}
+		places[entry.Key] = value.Address
+	}
+	return places
+}
+
+// run runs a test with balancers 1 to count on a fake clock.
+func run(t *testing.T, count byte, test func(t *testing.T, is *is.I, d *deployment)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		d := &deployment{platform: platform.New(nil)}
+		d.store = d.newStore()
+		ctx, stop := context.WithCancel(t.Context())
+		for number := range count {
+			d.start(ctx, number+1, d.newStore())
+		}
+		time.Sleep(2 * CheckInterval)
+		test(t, is.New(t), d)
+		stop()
+		d.group.Wait()
+		is.New(t).Equal(len(d.places(t)), 0) // who leaves gives up its place
+	})
+}
+
+func TestPlacesAreTakenOnceAndRefilled(t *testing.T) {
+	run(t, 10, func(t *testing.T, is *is.I, d *deployment) {
+		is.Equal(len(d.places(t)), Places)
+		d.platform.ExpireLeases() // the store ends leases early
+		time.Sleep(2 * CheckInterval)
+		places := d.places(t)
+		is.Equal(len(places), Places)
+		holders := make(map[netip.AddrPort]bool)
+		for _, holder := range places {
+			holders[holder] = true
+		}
+		is.Equal(len(holders), Places) // nobody holds two places
+		contacts, err := Contacts(t.Context(), d.store, testDataCentre, settings)
+		is.NoErr(err)
+		is.Equal(len(contacts), Places+len(settings))
+	})
+}
+
+func TestStoreAway(t *testing.T) {
+	run(t, 10, func(t *testing.T, is *is.I, d *deployment) {
+		d.platform.SetFaults(platform.Faults{Down: true})
+		contacts, err := Contacts(t.Context(), d.store, testDataCentre, settings)
+		is.True(err != nil)
+		is.Equal(contacts, settings) // the settings suffice
+		time.Sleep(time.Hour)
+		d.platform.SetFaults(platform.Faults{})
+		is.Equal(len(d.places(t)), 0)
+		time.Sleep(2 * CheckInterval)
+		is.Equal(len(d.places(t)), Places)
+	})
+}
+
+// TestPausedHolder freezes a holder until others took its place.
+func TestPausedHolder(t *testing.T) {
+	run(t, 0, func(t *testing.T, is *is.I, d *deployment) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		frozen := &pausing{Store: d.newStore(), renewal: make(chan time.Duration, 1)}
+		first := d.start(ctx, 99, frozen)
+		time.Sleep(2 * CheckInterval)
+		var place string
+		for key, holder := range d.places(t) {
+			is.Equal(holder, first)
+			place = key
+		}
+		frozen.renewal <- time.Hour
+		for number := range byte(Places) {
+			d.start(ctx, number+1, d.newStore())
+		}
+		time.Sleep(50 * time.Minute)
+		before := d.places(t)
+		is.Equal(len(before), Places)
+		is.True(before[place] != first) // the lease lapsed and another took the place
+		time.Sleep(2 * time.Hour)
+		is.Equal(d.places(t), before) // who wakes pushes nobody out
+		d.platform.ExpireLeases()
+		time.Sleep(3 * CheckInterval)
+		is.Equal(len(d.places(t)), Places)
+	})
+}
+
+// TestPausedClaim freezes a balancer between its read and its claim.
+func TestPausedClaim(t *testing.T) {
+	run(t, 0, func(t *testing.T, is *is.I, d *deployment) {
+		ctx, stop := context.WithCancel(t.Context())
+		frozen := &pausing{Store: d.newStore(), claim: make(chan time.Duration, 1)}
+		frozen.claim <- time.Hour
+		d.start(ctx, 99, frozen)
+		for number := range byte(Places) {
+			d.start(ctx, number+1, d.newStore())
+		}
+		time.Sleep(50 * time.Minute)
+		before := d.places(t)
+		is.Equal(len(before), Places)
+		time.Sleep(time.Hour)
+		is.Equal(d.places(t), before)
+		stop()
+		d.group.Wait()
+	})
+}
+
+// TestRestartedBalancer checks that a balancer whose former place has not yet
+// lapsed takes no second one.
+func TestRestartedBalancer(t *testing.T) {
+	is := is.New(t)
+	value, err := json.Marshal(Entry{Address: settings[0]})
+	is.NoErr(err)
+	h := NewHolder(testDataCentre, settings[0], time.Unix(0, 0), 0)
+	former := store.Entry{Key: keyOf(testDataCentre, 2), Value: value}
+	h.Listed(time.Unix(0, 0), store.Snapshot{Entries: []store.Entry{former}}, nil, 0)
+	step, _ := h.Next(time.Unix(0, 0))
+	is.Equal(step, Wait)
+}
+
+// TestLapseIsNoticedWithoutTheStore checks that a holder counts from when it
+// sent the last renewal that was answered.
+func TestLapseIsNoticedWithoutTheStore(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(0, 0)
+	h := NewHolder(testDataCentre, settings[0], start, 0)
+	h.Listed(start, store.Snapshot{}, nil, 0.9)
+	is.Equal(h.Place, Places-1)
+	h.Claimed(start.Add(time.Second), start, 7, true, 0)
+	step, until := h.Next(start.Add(time.Second))
+	is.Equal(step, Wait)
+	is.Equal(until, start.Add(LeaseTTL/renewalsPerTTL))
+	step, _ = h.Next(start.Add(LeaseTTL - time.Nanosecond))
+	is.Equal(step, Renew)
+	step, _ = h.Next(start.Add(LeaseTTL))
+	is.Equal(step, Read)
+	is.Equal(h.Lease, store.LeaseID(0))
+}
--- /dev/null
+++ b/internal/roster/run.go
@@ -0,0 +1,127 @@
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/store"
+)
+
+// revokeTimeout bounds the call that gives up a place.
+const revokeTimeout = 2 * time.Second
+
+// Config configures Run.
+type Config struct {
+	Store      store.Store
+	DataCentre string
+	// Self is the address to enter.
+	Self netip.AddrPort
+	// Random returns numbers in [0, 1). Nil means math/rand.
+	Random func() float64
+	// Log takes one event for each change of the place. Nil means the default logger.
+	Log log.Interface
+}
+
+// runner carries out the steps of a Holder.
+type runner struct {
+	Config
+	holder *Holder
+}
+
+// Run keeps a balancer in the roster, if there is a place, until ctx ends; then
+// it gives up the place.
+func Run(ctx context.Context, cfg Config) {
+	if cfg.Random == nil {
+		cfg.Random = rand.Float64
+	}
+	if cfg.Log == nil {
+		cfg.Log = log.Log
+	}
+	r := &runner{Config: cfg, holder: NewHolder(cfg.DataCentre, cfg.Self, time.Now(), cfg.Random())}
+	for ctx.Err() == nil {
+		r.step(ctx)
+	}
+	if r.holder.Lease != 0 {
+		r.revoke(ctx, r.holder.Lease)
+	}
+}
+
+func (r *runner) step(ctx context.Context) {
+	step, until := r.holder.Next(time.Now())
+	switch step {
+	case Wait:
+		timer := time.NewTimer(time.Until(until))
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+	case Read:
+		snapshot, err := r.Store.Range(ctx, prefixOf(r.DataCentre))
+		r.holder.Listed(time.Now(), snapshot, err, r.Random())
+	case Claim:
+		r.claim(ctx)
+	case Renew:
+		r.renew(ctx)
+	}
+}
+
+func (r *runner) renew(ctx context.Context) {
+	sent := time.Now()
+	err := r.Store.KeepAlive(ctx, r.holder.Lease)
+	if errkind.Is(err, errkind.NotFound) {
+		r.event("roster place lost", r.holder.Lease)
+	}
+	r.holder.Renewed(time.Now(), sent, err)
+}
+
+func (r *runner) claim(ctx context.Context) {
+	sent := time.Now()
+	lease, won := r.take(ctx)
+	r.holder.Claimed(time.Now(), sent, lease, won, r.Random())
+	if won {
+		r.event("roster place taken", lease)
+		return
+	}
+	if lease != 0 {
+		// If the claim had an unknown outcome, this also removes its entry.
+		r.revoke(ctx, lease)
+	}
+}
+
+// take enters the balancer under a new lease if the place is still free.
+func (r *runner) take(ctx context.Context) (lease store.LeaseID, won bool) {
+	value, err := json.Marshal(Entry{Address: r.Self})
+	if err != nil {
+		return 0, false
+	}
+	lease, err = r.Store.Grant(ctx, LeaseTTL)
+	if err != nil {
+		return 0, false
+	}
+	key := keyOf(r.DataCentre, r.holder.Place)
+	result, err := r.Store.Commit(ctx, store.Txn{
+		Compares: []store.Compare{{Key: key}},
+		Puts:     []store.Put{{Key: key, Value: value, Lease: lease}},
+	})
+	return lease, err == nil && result.Succeeded
+}
+
+// revoke gives up a lease as far as the store lets it; otherwise it lapses.
+func (r *runner) revoke(ctx context.Context, lease store.LeaseID) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), revokeTimeout)
+	defer cancel()
+	_ = r.Store.Revoke(ctx, lease)
+}
+
+func (r *runner) event(message string, lease store.LeaseID) {
+	r.Log.WithFields(log.Fields{
+		"data_centre": r.DataCentre, "address": r.Self.String(), "place": r.holder.Place, "lease": int64(lease),
+	}).Info(message)
+}
--- a/internal/standin/platform/keyspace.go
+++ b/internal/standin/platform/keyspace.go
@@ -41,10 +41,13 @@
 	return list[i-1], true
 }
 
-// live returns the value of key at revision, if it exists.
+// live returns the value of key at revision, or zero if it does not exist.
 func (k *keyspace) live(key string, revision int64) (etcdapi.KeyValue, bool) {
 	v, ok := k.at(key, revision)
-	return v.kv, ok && !v.deleted
+	if !ok || v.deleted {
+		return etcdapi.KeyValue{}, false
+	}
+	return v.kv, true
 }
 
 // put writes key at revision, which the caller has already advanced to.
--- a/internal/store/etcd/call.go
+++ b/internal/store/etcd/call.go
@@ -145,9 +145,9 @@
 	if err != nil {
 		return nil, &callError{outcome: outcomeRefused, cause: err}
 	}
+	// The transport sends a POST a second time only if its connection closed
+	// before anything of it was written.
 	request.Header.Set("Content-Type", "application/json")
-	// Without GetBody the transport cannot send the body a second time.
-	request.GetBody = nil
 	response, err := c.http.Do(request)
 	if err != nil {
 		return nil, &callError{outcome: sendOutcome(err), cause: err}
--- a/internal/ticket/fault_test.go
+++ b/internal/ticket/fault_test.go
@@ -213,3 +213,25 @@
 		is.Equal(errkind.Of(err), errkind.Stale)
 	})
 }
+
+// TestNameIsFreeAfterRemoval checks that a name can be given to a new service
+// with an ID and an address of its own, and that the old ID cannot come back.
+func TestNameIsFreeAfterRemoval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		submitter := newSubmitter(platform.New(nil))
+		heir := specOf(9, 5)
+		heir.Name = "service-1"
+		for _, next := range []Ticket{
+			ticketOf("create", specOf(1, 5)),
+			{ID: "remove", Submitter: "ayse", Removed: []string{"service-1"}},
+			ticketOf("heir", heir),
+		} {
+			_, err := submitter.Submit(t.Context(), next)
+			is.NoErr(err)
+		}
+		_, err := submitter.Submit(t.Context(), ticketOf("back", specOf(1, 5)))
+		is.Equal(errkind.Of(err), errkind.Invalid)
+		is.Equal(audit(submitter), nil)
+	})
+}
