--- a/cmd/almondledge/main.go
+++ b/cmd/almondledge/main.go
@@ -2,11 +2,26 @@
 package main
 
 import (
-	"fmt"
+	"context"
 	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/almondledge/almondledge/internal/cli"
 )
 
+// commands lists the sub-commands of the binary: those that start processes,
+// and those of the operators.
+type commands struct {
+	Balancer balancerCmd `cmd:"" help:"Run a balancer."`
+	Agent    agentCmd    `cmd:"" help:"Run an agent beside a backend server."`
+	Demo     demoCmd     `cmd:"" help:"Run a small deployment in this process, with traffic and failures, for half a minute."`
+	cli.Commands
+}
+
 func main() {
-	fmt.Fprintln(os.Stderr, "almondledge: no command yet")
-	os.Exit(2)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := cli.Run(ctx, os.Args[1:], &commands{}, cli.Streams{Out: os.Stdout, Err: os.Stderr})
+	stop()
+	os.Exit(code)
 }
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -8,7 +8,16 @@
 
 // cli lists the sub-commands; each has a file of its own.
 type cli struct {
-	Version versionCmd `cmd:"" help:"Print the version of the tool."`
+	Standin  standinCmd  `cmd:"" help:"Run a stand-in for an outside system."`
+	Load     loadCmd     `cmd:"" help:"Drive callers against running services and report."`
+	Faults   faultsCmd   `cmd:"" help:"Bring about faults in deployments while load runs, and judge the promises."`
+	Version  versionCmd  `cmd:"" help:"Print the version of the tool."`
+	Settings settingsCmd `cmd:"" help:"Write the settings of a small fleet on loopback."`
+	Ticket   ticketCmd   `cmd:"" help:"Submit a change ticket straight to the store."`
+	Get      getCmd      `cmd:"" help:"Fetch a URL over HTTP/3."`
+	Forward  forwardCmd  `cmd:"" help:"Compare forwarding with a bare UDP relay."`
+	Slopes   slopesCmd   `cmd:"" help:"Measure how control grows with the number of nodes."`
+	State    stateCmd    `cmd:"" help:"Measure what one balancer holds at the design size."`
 }
 
 func main() {
