Control: a queue of first-hand news for each other data centre

Cause: with 14 data centres a message to all of them did not fit the budget at once, and the whole set was sent again in every tick. Change: one queue for each data centre, served in turn, going on where the budget ended; a message carries the news of its own class only.

--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -89,9 +89,9 @@
 	indirectProbes = 3
 	// probeAttempts is the number of steps of a probe before it fails.
 	probeAttempts = 4
-	// originSends is the number of messages with which the node that learned a
-	// change at first hand tells a balancer of each other data centre.
-	originSends = 2
+	// urgentOriginSends is the number of messages with which the node that learned
+	// an urgent change at first hand tells a balancer of each other data centre.
+	urgentOriginSends = 2
 	// remoteGossipShare is the share of gossip messages also sent to another data centre.
 	remoteGossipShare = 0.25
 	// remoteRepairShare is the share of comparisons made with another data centre.
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -14,8 +14,6 @@
 	loadSize         = 30
 	// piggybackMembers is the number of changes that a probe carries.
 	piggybackMembers = 4
-	// maxRemoteMembers is the number of changes in one message to other data centres.
-	maxRemoteMembers = 8
 )
 
 // urgentPause is the time in which only the first news of a member is urgent.
@@ -29,8 +27,6 @@
 	superseded bool
 	// left is the number of sends left.
 	left int
-	// origin is the number of messages left that also go to each other data centre.
-	origin int
 }
 
 // gossip spreads changes among balancers: each is sent a bounded number of
@@ -41,8 +37,10 @@
 	// fresh holds urgent news that was not sent yet, urgent the rest of it.
 	fresh, urgent []*rumor
 	normal        []*rumor
-	// urgentOrigins and origins hold the news that must also go to each other data centre.
-	urgentOrigins, origins []*rumor
+	// remote holds the first-hand news for each other data centre; nextRemote is
+	// the place of the one that was served last.
+	remote     map[string]*remoteQueue
+	nextRemote int
 	// lastUrgent holds when news of a member was last urgent.
 	lastUrgent map[netip.AddrPort]time.Time
 	nextForget time.Time
@@ -60,6 +58,7 @@
 	return &gossip{
 		b:          b,
 		rumors:     map[netip.AddrPort]*rumor{},
+		remote:     map[string]*remoteQueue{},
 		lastUrgent: map[netip.AddrPort]time.Time{},
 		loadRumors: map[netip.AddrPort]*loadRumor{},
 	}
@@ -102,8 +101,7 @@
 	}
 	r := &rumor{m: m, left: sends, urgent: g.isUrgent(now, m)}
 	if firstHand {
-		r.origin = originSends
-		g.addOrigin(r)
+		g.addRemote(r)
 	}
 	g.rumors[m.Addr] = r
 	if r.urgent {
@@ -120,27 +118,30 @@
 
 func (g *gossip) tick(now time.Time) {
 	g.forgetUrgent(now)
-	switch {
-	case len(g.fresh)+len(g.urgent) > 0:
+	g.sendRemote(now)
+	if len(g.fresh)+len(g.urgent) > 0 {
 		g.send(now, ClassUrgent)
-	case g.revisionLeft > 0:
+	} else if g.revisionLeft > 0 {
 		g.send(now, ClassTicket)
-	case len(g.normal) > 0 && !now.Before(g.nextNormal):
+	}
+	if len(g.normal) > 0 && !now.Before(g.nextNormal) {
 		g.send(now, ClassMember)
-	case len(g.loads) > 0 && !now.Before(g.nextLoad):
+		g.nextNormal = now.Add(g.b.n.cfg.Timing.GossipPeriod)
+	}
+	if len(g.loads) > 0 && !now.Before(g.nextLoad) {
 		g.send(now, ClassLoad)
+		g.nextLoad = now.Add(loadPeriod)
 	}
 }
 
-// send builds one message from the queues, the urgent first, and sends it to
-// random balancers.
+// send builds one message from the queues of a class and sends it to random
+// balancers. Every message carries the catalog revision.
 func (g *gossip) send(now time.Time, class Class) {
 	to := g.targets()
 	if len(to) == 0 {
 		g.drop()
 		return
 	}
-	g.sendRemote(now, class)
 	room := 0
 	for len(to) > 0 {
 		room = g.b.n.budget.available(now, class, len(to)) - gossipHeaderSize
@@ -153,16 +154,15 @@
 		return
 	}
 	m := &Gossip{Self: g.b.n.record(), Revision: g.b.n.catalog.Revision()}
-	if class == ClassUrgent {
+	switch class {
+	case ClassUrgent:
 		m.Updates = g.fill(&g.fresh, &g.urgent, m.Updates, &room, len(to))
 		m.Updates = g.fill(&g.urgent, &g.urgent, m.Updates, &room, len(to))
-	}
-	if class <= ClassMember {
+	case ClassMember:
 		m.Updates = g.fill(&g.normal, &g.normal, m.Updates, &room, len(to))
-		g.nextNormal = now.Add(g.b.n.cfg.Timing.GossipPeriod)
+	case ClassLoad:
+		m.Loads = g.fillLoads(&room, len(to))
 	}
-	m.Loads = g.fillLoads(&room, len(to))
-	g.nextLoad = now.Add(loadPeriod)
 	payload, err := Encode(m)
 	if err != nil {
 		g.b.n.counters.BadMessages++
@@ -178,7 +178,7 @@
 func (g *gossip) drop() {
 	clear(g.rumors)
 	g.fresh, g.urgent, g.normal = nil, nil, nil
-	g.urgentOrigins, g.origins = nil, nil
+	clear(g.remote)
 	clear(g.loadRumors)
 	g.loads = nil
 	g.revisionLeft = 0
