lab faults: tickets in force everywhere, operators racing, key rotation; lab compare

Cause: two promises were not judged: an accepted ticket is in force everywhere within seconds and never reverts, and of racing operators one wins. Change: after each fault every running balancer and agent must have the last accepted revision in force within 16 s; four tickets against the same state must give one acceptance and conflicts; packet keys are added and put in use under load. Deployment split into files by job. lab compare runs two builds side by side under the same arrivals.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -10,6 +10,7 @@
 type cli struct {
 	Standin  standinCmd  `cmd:"" help:"Run a stand-in for an outside system."`
 	Load     loadCmd     `cmd:"" help:"Drive callers against running services and report."`
+	Compare  compareCmd  `cmd:"" help:"Run two builds side by side under the same load."`
 	Faults   faultsCmd   `cmd:"" help:"Bring about faults in deployments while load runs, and judge the promises."`
 	Version  versionCmd  `cmd:"" help:"Print the version of the tool."`
 	Settings settingsCmd `cmd:"" help:"Write the settings of a small fleet on loopback."`
--- /dev/null
+++ b/internal/lab/deploy/control.go
@@ -0,0 +1,53 @@
+package deploy
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/standin/backend"
+	"github.com/almondledge/almondledge/internal/standin/fabric"
+	"github.com/almondledge/almondledge/internal/standin/platform"
+)
+
+// SprayTo makes the fabric spray to these balancers.
+func (d *Deployment) SprayTo(ctx context.Context, balancers []*BalancerHost) error {
+	return d.SetFabric(ctx, func(k *fabric.Knobs) {
+		k.Balancers = nil
+		for _, b := range balancers {
+			k.Balancers = append(k.Balancers, fabric.Balancer{Addr: b.FabricListen, DataCentre: b.DataCentre})
+		}
+		k.JitterMillis = fabricJitter
+		k.DelayMillis = make(map[string]float64)
+		for _, name := range d.cfg.Place.DataCentres {
+			k.DelayMillis[name] = float64(d.cfg.Place.CallerDelay) / float64(time.Millisecond)
+		}
+	})
+}
+
+// SetFabric changes the knobs of the fabric.
+func (d *Deployment) SetFabric(ctx context.Context, change func(*fabric.Knobs)) error {
+	var k fabric.Knobs
+	if err := call(ctx, http.MethodGet, d.fabricURL()+"/knobs", nil, &k); err != nil {
+		return err
+	}
+	change(&k)
+	return call(ctx, http.MethodPut, d.fabricURL()+"/knobs", k, nil)
+}
+
+// ControlPlatform changes the platform's store.
+func (d *Deployment) ControlPlatform(ctx context.Context, control platform.Control) error {
+	return call(ctx, http.MethodPost, d.storeURL()+platform.ControlPath, control, nil)
+}
+
+// SetBackend replaces the knobs of a backend server.
+func (d *Deployment) SetBackend(ctx context.Context, h *Host, k backend.Knobs) error {
+	return call(ctx, http.MethodPut, h.control+"/knobs", k, nil)
+}
+
+// BackendLoad returns what a backend server counted.
+func (d *Deployment) BackendLoad(ctx context.Context, h *Host) (backend.Load, error) {
+	var l backend.Load
+	err := call(ctx, http.MethodGet, h.control+"/load", nil, &l)
+	return l, err
+}
--- a/internal/lab/deploy/deploy_test.go
+++ b/internal/lab/deploy/deploy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -13,6 +14,7 @@
 
 	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/localfleet"
+	"github.com/almondledge/almondledge/internal/settings"
 )
 
 // firstEphemeralPort is where the system's own choices of ports begin.
@@ -105,3 +107,32 @@
 	defer cancel()
 	is.NoErr(d.poll(ctx, p, func() error { return nil }))
 }
+
+func TestPacketKeysAreRotatedInSteps(t *testing.T) {
+	is := is.New(t)
+	d := &Deployment{cfg: Config{Dir: t.TempDir()}}
+	h := &Host{Agent: &Process{Name: "agent-1"}}
+	d.Hosts = []*Host{h}
+	first := settings.PacketKey{Version: 0, Secret: []byte("first")}
+	_, err := d.writeSettings("agent-1", settings.Agent{Common: settings.Common{DataCentre: "cesme", PacketKeys: []settings.PacketKey{first}}})
+	is.NoErr(err)
+	versions := func() (out []int) {
+		text, err := os.ReadFile(filepath.Join(d.cfg.Dir, "agent-1.json"))
+		is.NoErr(err)
+		var got settings.Agent
+		is.NoErr(json.Unmarshal(text, &got))
+		is.Equal(got.DataCentre, "cesme") // other fields stay
+		for _, k := range got.PacketKeys {
+			out = append(out, k.Version)
+		}
+		return out
+	}
+	is.NoErr(d.AddPacketKey())
+	is.Equal(versions(), []int{0, 1}) // accepted, not yet used
+	is.NoErr(d.UsePacketKey())
+	is.Equal(versions(), []int{1, 0})
+	is.NoErr(d.AddPacketKey())
+	is.Equal(versions(), []int{1, 0, 2})
+	d.keyVersion = settings.MaxKeyVersion
+	is.Equal(errkind.Of(d.AddPacketKey()), errkind.Overloaded)
+}
--- a/internal/lab/deploy/deployment.go
+++ b/internal/lab/deploy/deployment.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -14,18 +12,13 @@
 	"slices"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/almondledge/almondledge/internal/errkind"
-	"github.com/almondledge/almondledge/internal/lab/load"
 	"github.com/almondledge/almondledge/internal/localfleet"
 	"github.com/almondledge/almondledge/internal/service"
-	"github.com/almondledge/almondledge/internal/standin/backend"
-	"github.com/almondledge/almondledge/internal/standin/fabric"
 	"github.com/almondledge/almondledge/internal/standin/platform"
 	"github.com/almondledge/almondledge/internal/store/etcd"
-	"github.com/almondledge/almondledge/internal/ticket"
 )
 
 const (
@@ -53,20 +46,6 @@
 	Seed uint64
 }
 
-// Host is one backend server with its agent.
-type Host struct {
-	// Agent and Backend are the two processes.
-	Agent, Backend *Process
-	// Service is the service that the host serves.
-	Service string
-	// AgentAddr identifies the agent.
-	AgentAddr netip.AddrPort
-
-	control string
-	admin   netip.AddrPort
-	ledger  string
-}
-
 // BalancerHost is one balancer.
 type BalancerHost struct {
 	*Process
@@ -88,10 +67,12 @@
 	fabric   *Process
 	store    *etcd.Client
 
-	mu        sync.Mutex // guards the fields below
-	balancers []*BalancerHost
-	specs     map[string]service.Spec
-	tickets   int
+	mu         sync.Mutex // guards the fields below
+	balancers  []*BalancerHost
+	specs      map[string]service.Spec
+	tickets    int
+	revision   int64
+	keyVersion int
 }
 
 // Start starts all processes and waits until every agent is ready. After an
@@ -132,7 +113,7 @@
 	for _, s := range p.Services {
 		d.specs[s.Name] = p.Spec(s)
 	}
-	if err := d.Change(ctx, func([]*service.Spec) {}); err != nil {
+	if _, err := d.Change(ctx, func([]*service.Spec) {}); err != nil {
 		return err
 	}
 	if err := d.startHosts(); err != nil {
@@ -228,59 +209,6 @@
 	return file, os.WriteFile(file, text, secretFileMode)
 }
 
-func (d *Deployment) startHosts() error {
-	number := 0
-	for _, s := range d.cfg.Place.Services {
-		for i := range s.Hosts {
-			number++
-			h, err := d.newHost(s, number, d.cfg.Place.dataCentre(i))
-			if err != nil {
-				return err
-			}
-			d.Hosts = append(d.Hosts, h)
-			if err := errors.Join(h.Backend.start(), h.Agent.start()); err != nil {
-				return err
-			}
-		}
-	}
-	return nil
-}
-
-func (d *Deployment) newHost(s ServicePlan, number int, dataCentre string) (*Host, error) {
-	p := d.cfg.Place
-	agentName, backendName := fmt.Sprintf("agent-%d", number), fmt.Sprintf("backend-%d", number)
-	addr, announce := p.addr(agentNetwork, number, memberPort), p.addr(agentNetwork, number, announcePort)
-	admin := p.addr(agentNetwork, number, adminPort)
-	config, err := d.fleet.Agent(dataCentre, addr, announce, admin)
-	if err != nil {
-		return nil, err
-	}
-	config.Capacity = s.Slots
-	file, err := d.writeSettings(agentName, config)
-	if err != nil {
-		return nil, err
-	}
-	control := p.loopback(backendControlPort, number).String()
-	ledger := filepath.Join(d.cfg.Dir, backendName+".ledger")
-	h := &Host{
-		Agent: d.newProcess(agentName, Agent, d.cfg.Binary, "agent", file),
-		Backend: d.newProcess(backendName, Backend, d.cfg.Lab, "standin", "backend",
-			"--listen", p.loopback(backendPort, number).String(), "--control", control,
-			"--service", s.Name, "--name", backendName, "--capacity", strconv.Itoa(s.Slots),
-			"--agent", "http://"+announce.String(), "--ledger", ledger),
-		Service:   s.Name,
-		AgentAddr: addr,
-		control:   "http://" + control,
-		admin:     admin,
-		ledger:    ledger,
-	}
-	for _, process := range []*Process{h.Agent, h.Backend} {
-		process.DataCentre = dataCentre
-		process.Service = s.Name
-	}
-	return h, nil
-}
-
 // poll repeats check until it succeeds, the process ends or the time is over.
 func (d *Deployment) poll(ctx context.Context, p *Process, check func() error) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
@@ -322,136 +250,3 @@
 		}
 	}
 }
-
-// Change submits a ticket with the new states of all services.
-func (d *Deployment) Change(ctx context.Context, change func([]*service.Spec)) error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.tickets++
-	t := ticket.Ticket{ID: fmt.Sprintf("%s-%d-%d", d.cfg.Place.Name, os.Getpid(), d.tickets), Submitter: "lab"}
-	var specs []*service.Spec
-	for _, s := range d.cfg.Place.Services {
-		spec := d.specs[s.Name]
-		spec.Draining = slices.Clone(spec.Draining)
-		specs = append(specs, &spec)
-	}
-	change(specs)
-	for _, spec := range specs {
-		t.Services = append(t.Services, *spec)
-	}
-	submitter := ticket.Submitter{Store: d.store}
-	if _, err := submitter.Submit(ctx, t); err != nil {
-		return err
-	}
-	for _, spec := range specs {
-		d.specs[spec.Name] = *spec
-	}
-	return nil
-}
-
-// SetDraining submits a ticket that drains a host, or takes it back.
-func (d *Deployment) SetDraining(ctx context.Context, h *Host, draining bool) error {
-	return d.Change(ctx, func(specs []*service.Spec) {
-		for _, spec := range specs {
-			if spec.Name != h.Service {
-				continue
-			}
-			spec.Draining = slices.DeleteFunc(spec.Draining, func(a netip.AddrPort) bool { return a == h.AgentAddr })
-			if draining {
-				spec.Draining = append(spec.Draining, h.AgentAddr)
-			}
-		}
-	})
-}
-
-// SprayTo makes the fabric spray to these balancers.
-func (d *Deployment) SprayTo(ctx context.Context, balancers []*BalancerHost) error {
-	return d.SetFabric(ctx, func(k *fabric.Knobs) {
-		k.Balancers = nil
-		for _, b := range balancers {
-			k.Balancers = append(k.Balancers, fabric.Balancer{Addr: b.FabricListen, DataCentre: b.DataCentre})
-		}
-		k.JitterMillis = fabricJitter
-		k.DelayMillis = make(map[string]float64)
-		for _, name := range d.cfg.Place.DataCentres {
-			k.DelayMillis[name] = float64(d.cfg.Place.CallerDelay) / float64(time.Millisecond)
-		}
-	})
-}
-
-// SetFabric changes the knobs of the fabric.
-func (d *Deployment) SetFabric(ctx context.Context, change func(*fabric.Knobs)) error {
-	var k fabric.Knobs
-	if err := call(ctx, http.MethodGet, d.fabricURL()+"/knobs", nil, &k); err != nil {
-		return err
-	}
-	change(&k)
-	return call(ctx, http.MethodPut, d.fabricURL()+"/knobs", k, nil)
-}
-
-// ControlPlatform changes the platform's store.
-func (d *Deployment) ControlPlatform(ctx context.Context, control platform.Control) error {
-	return call(ctx, http.MethodPost, d.storeURL()+platform.ControlPath, control, nil)
-}
-
-// SetBackend replaces the knobs of a backend server.
-func (d *Deployment) SetBackend(ctx context.Context, h *Host, k backend.Knobs) error {
-	return call(ctx, http.MethodPut, h.control+"/knobs", k, nil)
-}
-
-// BackendLoad returns what a backend server counted.
-func (d *Deployment) BackendLoad(ctx context.Context, h *Host) (backend.Load, error) {
-	var l backend.Load
-	err := call(ctx, http.MethodGet, h.control+"/load", nil, &l)
-	return l, err
-}
-
-// Ledgers returns the ledger files of all backend servers.
-func (d *Deployment) Ledgers() []string {
-	var paths []string
-	for _, h := range d.Hosts {
-		paths = append(paths, h.ledger)
-	}
-	return paths
-}
-
-// Metrics returns the metrics endpoints of balancers and agents.
-func (d *Deployment) Metrics() []load.MetricsSource {
-	var sources []load.MetricsSource
-	add := func(role Role, admin netip.AddrPort) {
-		sources = append(sources, load.MetricsSource{
-			Role: string(role), URL: "http://" + admin.String() + "/metrics", Token: d.fleet.AdminToken,
-		})
-	}
-	for _, b := range d.Balancers() {
-		add(Balancer, b.admin)
-	}
-	for _, h := range d.Hosts {
-		add(Agent, h.admin)
-	}
-	return sources
-}
-
-// TLS returns the certificates that callers trust.
-func (d *Deployment) TLS() *tls.Config {
-	pool := x509.NewCertPool()
-	pool.AppendCertsFromPEM([]byte(d.fleet.CallerCA()))
-	return &tls.Config{RootCAs: pool}
-}
-
-// Targets returns the services as targets of load.
-func (d *Deployment) Targets(mix load.Mix) []load.Target {
-	var targets []load.Target
-	for _, s := range d.cfg.Place.Services {
-		targets = append(targets, load.Target{
-			Name: s.Name, Address: d.cfg.Place.ServiceAddr(s), ServerName: localfleet.CallerHost, Servers: s.Hosts, Mix: mix,
-		})
-	}
-	return targets
-}
-
-// Freeze and Thaw stop and continue a process.
-func Freeze(p *Process) error { return p.Signal(syscall.SIGSTOP) }
-
-// Thaw continues a process that Freeze stopped.
-func Thaw(p *Process) error { return p.Signal(syscall.SIGCONT) }
--- a/internal/lab/deploy/process.go
+++ b/internal/lab/deploy/process.go
@@ -137,3 +137,9 @@
 	_, err := p.Wait(ctx)
 	return err
 }
+
+// Freeze stops a process until Thaw.
+func Freeze(p *Process) error { return p.Signal(syscall.SIGSTOP) }
+
+// Thaw continues a process that Freeze stopped.
+func Thaw(p *Process) error { return p.Signal(syscall.SIGCONT) }
--- /dev/null
+++ b/internal/lab/deploy/tickets.go
@@ -0,0 +1,152 @@
+package deploy
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/almondledge/almondledge/internal/adminapi"
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/service"
+	"github.com/almondledge/almondledge/internal/ticket"
+)
+
+// racers is the number of operators that submit tickets at the same moment.
+const racers = 4
+
+// Change submits a ticket with the new states of all services and returns the
+// revision that it has in the store.
+func (d *Deployment) Change(ctx context.Context, change func([]*service.Spec)) (int64, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.newTicket(change)
+	submitter := ticket.Submitter{Store: d.store}
+	outcome, err := submitter.Submit(ctx, t)
+	if err != nil {
+		return 0, err
+	}
+	d.accept(t, outcome.Revision)
+	return outcome.Revision, nil
+}
+
+// newTicket returns a ticket with changed copies of all services; the caller holds d.mu.
+func (d *Deployment) newTicket(change func([]*service.Spec)) ticket.Ticket {
+	d.tickets++
+	t := ticket.Ticket{ID: fmt.Sprintf("%s-%d-%d", d.cfg.Place.Name, os.Getpid(), d.tickets), Submitter: "lab"}
+	var specs []*service.Spec
+	for _, s := range d.cfg.Place.Services {
+		spec := d.specs[s.Name]
+		spec.Draining = slices.Clone(spec.Draining)
+		specs = append(specs, &spec)
+	}
+	change(specs)
+	for _, spec := range specs {
+		t.Services = append(t.Services, *spec)
+	}
+	return t
+}
+
+// accept keeps the states of an accepted ticket; the caller holds d.mu.
+func (d *Deployment) accept(t ticket.Ticket, revision int64) {
+	for _, spec := range t.Services {
+		d.specs[spec.Name] = spec
+	}
+	d.revision = revision
+}
+
+// SetDraining submits a ticket that drains a host, or takes it back.
+func (d *Deployment) SetDraining(ctx context.Context, h *Host, draining bool) (int64, error) {
+	return d.Change(ctx, func(specs []*service.Spec) {
+		for _, spec := range specs {
+			if spec.Name != h.Service {
+				continue
+			}
+			spec.Draining = slices.DeleteFunc(spec.Draining, func(a netip.AddrPort) bool { return a == h.AgentAddr })
+			if draining {
+				spec.Draining = append(spec.Draining, h.AgentAddr)
+			}
+		}
+	})
+}
+
+// Race lets several operators submit different tickets against the same state at
+// the same moment, and returns how many were accepted and how many lost by a conflict.
+func (d *Deployment) Race(ctx context.Context) (accepted, conflicts int, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	tickets := make([]ticket.Ticket, racers)
+	outcomes := make([]ticket.Outcome, racers)
+	errs := make([]error, racers)
+	for i := range tickets {
+		tickets[i] = d.newTicket(func(specs []*service.Spec) {
+			for _, spec := range specs {
+				spec.Limits.QueueLength = raceQueueLength + i
+			}
+		})
+		for _, spec := range tickets[i].Services {
+			tickets[i].Bases = append(tickets[i].Bases, ticket.Base{Service: spec.Name, Revision: d.revision})
+		}
+	}
+	var group errgroup.Group
+	for i := range tickets {
+		group.Go(func() error {
+			submitter := ticket.Submitter{Store: d.store}
+			outcomes[i], errs[i] = submitter.Submit(ctx, tickets[i])
+			return nil
+		})
+	}
+	_ = group.Wait() // the functions return no error
+	for i, err := range errs {
+		switch {
+		case err == nil:
+			accepted++
+			d.accept(tickets[i], outcomes[i].Revision)
+		case errkind.Is(err, errkind.Conflict):
+			conflicts++
+		default:
+			return accepted, conflicts, err
+		}
+	}
+	return accepted, conflicts, nil
+}
+
+// raceQueueLength is the first of the queue lengths that racing operators ask for.
+const raceQueueLength = 101
+
+// AcceptedRevision returns the revision of the last accepted ticket.
+func (d *Deployment) AcceptedRevision() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.revision
+}
+
+// Revisions returns the revision in force at each running balancer and agent; a
+// process that does not answer has none.
+func (d *Deployment) Revisions(ctx context.Context) map[string]int64 {
+	revisions := make(map[string]int64)
+	read := func(p *Process, admin netip.AddrPort) {
+		if !p.Running() {
+			return
+		}
+		client := adminapi.NewClient(adminapi.ClientOptions{
+			Endpoints: []string{"http://" + admin.String()}, Token: d.fleet.AdminToken, Timeout: controlTimeout,
+		})
+		defer client.Close()
+		state, err := client.State(ctx, false)
+		if err != nil {
+			state.Revision = 0
+		}
+		revisions[p.Name] = state.Revision
+	}
+	for _, b := range d.Balancers() {
+		read(b.Process, b.admin)
+	}
+	for _, h := range d.Hosts {
+		read(h.Agent, h.admin)
+	}
+	return revisions
+}
--- a/internal/lab/faults/report.go
+++ b/internal/lab/faults/report.go
@@ -53,6 +53,9 @@
 	RequestsCutAllowed int `json:"requestsCutAllowed"`
 	// SlowestMs is the longest latency of an answered request in milliseconds.
 	SlowestMs float64 `json:"slowestMs"`
+	// TicketLagMs is how long after the fault, with its time to settle, the last
+	// accepted ticket was in force everywhere, in milliseconds.
+	TicketLagMs float64 `json:"ticketLagMs"`
 	// Broken are the broken promises, in words.
 	Broken []string `json:"broken"`
 }
@@ -91,11 +94,11 @@
 func (r *Report) WriteTable(w io.Writer) error {
 	var text strings.Builder
 	fmt.Fprintf(&text, "%s, seed %d; numbers in brackets are allowed by the fault\n", r.Place, r.Seed)
-	fmt.Fprintln(&text, "fault\tplanned\tanswered\tflows broken\tmoved\tcut\tnot run\tnot sent\tunknown\ttimed out\tfailed\tslowest ms\tpromises")
+	fmt.Fprintln(&text, "fault\tplanned\tanswered\tflows broken\tmoved\tcut\tnot run\tnot sent\tunknown\ttimed out\tfailed\tslowest ms\tticket lag ms\tpromises")
 	for _, x := range r.Results {
-		fmt.Fprintf(&text, "%s\t%v\t%d\t%d (%d)\t%d\t%d (%d)\t%d\t%d\t%d\t%d\t%d\t%.0f\t%s\n", x.Name, x.Planned, x.Answered,
+		fmt.Fprintf(&text, "%s\t%v\t%d\t%d (%d)\t%d\t%d (%d)\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t%s\n", x.Name, x.Planned, x.Answered,
 			x.FlowsBroken, x.FlowsBrokenAllowed, x.Moved, x.RequestsCut, x.RequestsCutAllowed,
-			x.NotRun, x.NotSent, x.Unknown, x.TimedOut, x.Failed, x.SlowestMs, x.verdict())
+			x.NotRun, x.NotSent, x.Unknown, x.TimedOut, x.Failed, x.SlowestMs, x.TicketLagMs, x.verdict())
 	}
 	tab := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	if _, err := io.WriteString(tab, text.String()); err != nil {
--- a/internal/lab/faults/run.go
+++ b/internal/lab/faults/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -27,6 +28,9 @@
 	// afterTime is how long after a fault its consequences may still show: flows
 	// of a killed process break when they have been silent for the idle timeout.
 	afterTime = IdleTimeout + 4*time.Second
+	// ticketLimit is the time within which an accepted ticket must be in force everywhere.
+	ticketLimit  = 16 * time.Second
+	revisionPoll = 200 * time.Millisecond
 	// endTimeout bounds the steps that end a fault.
 	endTimeout = 90 * time.Second
 )
@@ -141,8 +145,11 @@
 	err = errors.Join(err, s.end(endCtx))
 	r.before, r.beforeAt = s, time.Now()
 	pause(ctx, settleTime)
+	lag, behind := r.awaitRevision(endCtx)
+	wrong = append(wrong, behind...)
 	counts := r.session.Snapshot().Since(before)
 	result := judge(name, planned, s, counts)
+	result.TicketLagMs = float64(lag) / float64(time.Millisecond)
 	result.Seconds = time.Since(start).Seconds()
 	result.Broken = append(result.Broken, wrong...)
 	if err != nil {
@@ -154,6 +161,31 @@
 	}
 }
 
+// awaitRevision waits until the last accepted ticket is in force at every
+// process that runs, and returns how long that took after the fault. A process
+// that went back to an older state shows here too.
+func (r *runner) awaitRevision(ctx context.Context) (time.Duration, []string) {
+	accepted := r.cfg.Deployment.AcceptedRevision()
+	start := time.Now()
+	for {
+		var behind []string
+		for name, revision := range r.cfg.Deployment.Revisions(ctx) {
+			if revision < accepted {
+				behind = append(behind, fmt.Sprintf("%s has revision %d in force and not %d", name, revision, accepted))
+			}
+		}
+		lag := time.Since(start)
+		if len(behind) == 0 {
+			return lag, nil
+		}
+		if lag > ticketLimit || ctx.Err() != nil {
+			slices.Sort(behind)
+			return lag, behind
+		}
+		pause(ctx, revisionPoll)
+	}
+}
+
 // judge compares what was counted during a fault with what the fault allows.
 func judge(name string, planned bool, s *scene, counts load.Snapshot) Result {
 	result := Result{
--- a/internal/lab/faults/system.go
+++ b/internal/lab/faults/system.go
@@ -15,6 +15,8 @@
 const (
 	storeHold  = 8 * time.Second
 	fabricHold = 5 * time.Second
+	// keySpread is the time that processes get to load a new key before it is used.
+	keySpread = 2 * time.Second
 )
 
 // systemFaults are tickets and the faults of fabric and store.
@@ -22,6 +24,8 @@
 	return []Fault{
 		{Name: "ticket-drain", Planned: true, Hold: drainHold, begin: drainByTicket(1)},
 		{Name: "ticket-drain-two", Planned: true, Hold: drainHold, begin: drainByTicket(2)},
+		{Name: "ticket-race", Planned: true, Hold: killHold, begin: raceOperators},
+		{Name: "key-rotation", Planned: true, Hold: killHold, begin: rotateKeys},
 		{Name: "ticket-limits", Planned: true, Hold: killHold, begin: changeLimits},
 		{Name: "fabric-cut-to", Hold: fabricHold, begin: cutFabric(func(k *fabric.Knobs, a netip.AddrPort) { k.CutTo = append(k.CutTo, a) })},
 		{Name: "fabric-cut-from", Hold: fabricHold, begin: cutFabric(func(k *fabric.Knobs, a netip.AddrPort) { k.CutFrom = append(k.CutFrom, a) })},
@@ -56,12 +60,12 @@
 				return err
 			}
 			s.atEnd(func(ctx context.Context) error {
-				if err := s.d.SetDraining(ctx, h, false); err != nil {
+				if _, err := s.d.SetDraining(ctx, h, false); err != nil {
 					return err
 				}
 				return s.d.WaitServing(ctx, []*deploy.Host{h})
 			})
-			if err := s.d.SetDraining(ctx, h, true); err != nil {
+			if _, err := s.d.SetDraining(ctx, h, true); err != nil {
 				return err
 			}
 			checkNoNewWork(ctx, s, h)
@@ -102,11 +106,34 @@
 }
 
 func addSlots(ctx context.Context, s *scene, n int) error {
-	return s.d.Change(ctx, func(specs []*service.Spec) {
+	_, err := s.d.Change(ctx, func(specs []*service.Spec) {
 		for _, spec := range specs {
 			spec.Limits.Slots += n
 		}
 	})
+	return err
+}
+
+// raceOperators submits several tickets against the same state: one must win
+// and the others must get a conflict.
+func raceOperators(ctx context.Context, s *scene) error {
+	accepted, conflicts, err := s.d.Race(ctx)
+	if err != nil {
+		return err
+	}
+	if accepted != 1 || conflicts == 0 {
+		return fmt.Errorf("of racing tickets %d were accepted and %d got a conflict", accepted, conflicts)
+	}
+	return nil
+}
+
+// rotateKeys adds a packet key everywhere and then makes it the current one.
+func rotateKeys(ctx context.Context, s *scene) error {
+	if err := s.d.AddPacketKey(); err != nil {
+		return err
+	}
+	pause(ctx, keySpread)
+	return s.d.UsePacketKey()
 }
 
 func cutFabric(cut func(*fabric.Knobs, netip.AddrPort)) func(context.Context, *scene) error {
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -215,3 +215,24 @@
 		})
 	}
 }
+
+func TestSnapshotsTellWhatHappenedBetweenThem(t *testing.T) {
+	is := is.New(t)
+	r := newRecorder(time.Now())
+	s := &Session{run: &run{targets: []*targetRun{{recorder: r}}}}
+	cut := caller.Answer{Verdict: caller.Cut, Agent: "a", Err: errors.New("reset")}
+	r.record(ClassPoll, time.Now(), cut)
+	r.record(ClassPoll, time.Now().Add(-time.Minute), caller.Answer{Verdict: caller.Answered})
+	first := s.Snapshot()
+	is.True(first.Slowest >= time.Minute)
+	r.retried(ClassBooking, cut)
+	r.end(caller.End{Broken: true, Agent: "b"})
+	r.end(caller.End{})
+	since := s.Snapshot().Since(first)
+	is.Equal(since, Snapshot{
+		Verdicts: map[caller.Verdict]int{caller.Cut: 1},
+		BrokenBy: map[string]int{"b": 1},
+		CutBy:    map[string]int{"a": 1},
+		Moved:    1,
+	})
+}
