lab flows: what open flows, new flows and requests cost

Cause: the capacity page needs slopes of the packet and request paths, not only of control. Ruled out: measuring in one process with the callers, whose memory would count. Change: lab flows runs one agent and two balancers as processes and reads their own metrics.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -17,6 +17,7 @@
 	Ticket   ticketCmd   `cmd:"" help:"Submit a change ticket straight to the store."`
 	Get      getCmd      `cmd:"" help:"Fetch a URL over HTTP/3."`
 	Forward  forwardCmd  `cmd:"" help:"Compare forwarding with a bare UDP relay."`
+	Flows    flowsCmd    `cmd:"" help:"Measure what flows and requests cost an agent and its balancers."`
 	Slopes   slopesCmd   `cmd:"" help:"Measure how control grows with the number of nodes."`
 	State    stateCmd    `cmd:"" help:"Measure what one balancer holds at the design size."`
 }
