Idempotency keys outlive the planned stop of their agent

Cause: the demo's author saw a booking that never ran end as 'outcome unknown': its key came from an agent that had been stopped as planned. Reading on: a key of an agent that drains, or is not among the sampled peers, had the same fate although its agent was alive. Ruled out: asking the caller to say that a key is unused (not a usual protocol); a store write a booking (the store bears some hundred a second for the whole fleet). Change: an agent that leaves closes its ledger for good and gives it to its known peers, which answer for its keys: the kept answer, unknown, or certainly not run. Keys are forwarded to the address that they name, so stream and address must be equal for agents too. A crash still leaves 'unknown'; services of more than 17 hosts hand over to the sampled peers only.

--- a/internal/agent/review.go
+++ b/internal/agent/review.go
@@ -17,6 +17,8 @@
 	lookupPause = 2 * time.Second
 	// peerGrace is how long a stopping agent waits for a peer before it sends GOAWAY.
 	peerGrace = 5 * time.Second
+	// handOverTimeout bounds handing the ledger to peers.
+	handOverTimeout = 3 * time.Second
 	// leaveGrace is how long a leaving agent lets its last statement travel.
 	leaveGrace = 500 * time.Millisecond
 	// drainPoll is how often a draining agent looks whether its flows have ended.
@@ -115,6 +117,7 @@
 		a.log.WithField("flows", a.endpoint.flows.Load()).WithError(err).Warn("drain timeout: flows were cut")
 	}
 	a.awaitRelayed(bounded)
+	a.handOver(ctx)
 	a.driver.SetState(member.Leaving)
 	pause(ctx, leaveGrace)
 	a.log.Info("agent left")
@@ -132,6 +135,18 @@
 	}
 }
 
+// handOver gives the ledger of idempotency keys to peers.
+func (a *Agent) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	taken, err := a.gateway.HandOver(ctx)
+	if err != nil {
+		a.log.WithError(err).Warn("ledger not handed over")
+		return
+	}
+	a.log.WithField("peers", taken).Info("ledger handed over")
+}
+
 // awaitRelayed waits for the requests that peers relayed to this agent.
 func (a *Agent) awaitRelayed(ctx context.Context) {
 	for a.gateway.InFlight() > 0 && ctx.Err() == nil {
--- a/internal/faultmatrix/matrix_test.go
+++ b/internal/faultmatrix/matrix_test.go
@@ -139,7 +139,7 @@
 }
 
 // bookUnder books once under a key that other callers may use at the same time.
-func (c *cell) bookUnder(flow *caller.Flow, name, key string, mayFail bool) {
+func (c *cell) bookUnder(flow *caller.Flow, name, key string) {
 	ctx, cancel := c.bounded()
 	defer cancel()
 	answer := flow.Book(ctx, name, key, bookingWork)
@@ -152,7 +152,7 @@
 	if last, ok := c.bookings[name]; !ok || last.Verdict != caller.Answered {
 		c.bookings[name] = answer
 	}
-	c.answers = append(c.answers, named{name: name, answer: answer, service: booking, mayFail: mayFail})
+	c.answers = append(c.answers, named{name: name, answer: answer, service: booking})
 }
 
 // verify checks every promise after the step was seen through.
--- a/internal/faultmatrix/steps_test.go
+++ b/internal/faultmatrix/steps_test.go
@@ -65,15 +65,14 @@
 		var calls []func()
 		for range 3 {
 			other := c.open()
-			calls = append(calls, func() { c.bookUnder(other, "repeated", key, false) })
+			calls = append(calls, func() { c.bookUnder(other, "repeated", key) })
 		}
 		wait := c.together(calls...)
 		time.Sleep(300 * time.Millisecond)
 		c.strike(target)
 		wait()
 		time.Sleep(5 * time.Second)
-		// When the agent that granted the key has gone, "unknown" is the truth.
-		c.bookUnder(c.open(), "repeated", key, true)
+		c.bookUnder(c.open(), "repeated", key)
 		return target
 	}},
 	{"body half sent", func(c *cell) int {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -185,7 +185,15 @@
 		defer x.close()
 		x.servePeer()
 	}
-	return http.StripPrefix(RelayPrefix, http.HandlerFunc(serve))
+	relayed := http.StripPrefix(RelayPrefix, http.HandlerFunc(serve))
+	// Not a ServeMux: that would redirect relayed requests whose paths are not clean.
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPut && r.URL.Path == ledgerPath {
+			g.takeLedger(w, r)
+			return
+		}
+		relayed.ServeHTTP(w, r)
+	})
 }
 
 // Drain makes the Gateway relay new requests to peers. Without any peer it goes
--- /dev/null
+++ b/internal/gateway/handover.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/idempotency"
+	"github.com/almondledge/almondledge/internal/member"
+)
+
+// ledgerPath is where a peer takes the closed ledger of an agent that leaves.
+const ledgerPath = RelayPrefix + "-ledger"
+
+// HandOver closes the ledger of this agent for good and gives it to all known
+// peers, so that callers who hold keys of this agent still get a true answer
+// after it has left: what became of a used key, or that an unused one was not
+// run. It returns the number of peers that took the ledger.
+func (g *Gateway) HandOver(ctx context.Context) (int, error) {
+	now := g.cfg.Now()
+	g.mu.Lock()
+	closed := g.shared.records.Close(now)
+	g.mu.Unlock()
+	encoded, err := msgpack.Marshal(closed)
+	if err != nil {
+		return 0, errkind.Wrap(err, errkind.Invalid, "cannot encode the ledger", "report this as a defect")
+	}
+	if len(encoded) > idempotency.MaxClosedBytes {
+		return 0, errkind.New(errkind.Invalid, "the ledger is too large to hand over", "none; repeats with its keys get an unknown outcome")
+	}
+	taken := 0
+	for _, peer := range g.peers() {
+		if g.giveLedger(ctx, peer, encoded) {
+			taken++
+		}
+	}
+	return taken, nil
+}
+
+// giveLedger sends the encoded ledger to one peer.
+func (g *Gateway) giveLedger(ctx context.Context, peer member.Member, encoded []byte) bool {
+	target := g.cfg.PeerURL(peer) + ledgerPath
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, target, bytes.NewReader(encoded))
+	if err != nil {
+		return false
+	}
+	response, err := g.cfg.Relay.RoundTrip(request)
+	if err != nil {
+		g.cfg.Log.WithField("peer", peer.Addr.String()).WithError(err).Warn("peer did not take the ledger")
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode == http.StatusNoContent
+}
+
+// takeLedger keeps the closed ledger of a peer that leaves.
+func (g *Gateway) takeLedger(w http.ResponseWriter, r *http.Request) {
+	body := http.MaxBytesReader(w, r.Body, idempotency.MaxClosedBytes)
+	encoded, err := io.ReadAll(body)
+	if err != nil {
+		http.Error(w, "the ledger is incomplete or too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	var closed idempotency.Closed
+	if err := msgpack.Unmarshal(encoded, &closed); err != nil {
+		http.Error(w, "the ledger is malformed", http.StatusBadRequest)
+		return
+	}
+	now := g.cfg.Now()
+	g.mu.Lock()
+	err = g.shared.records.Inherit(now, closed)
+	g.mu.Unlock()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	g.cfg.Log.WithField("peer", closed.Granter.String()).WithField("records", len(closed.Records)).Info("took the ledger of a leaving agent")
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/almondledge/almondledge/internal/idempotency"
+	"github.com/almondledge/almondledge/internal/member"
 	"github.com/almondledge/almondledge/internal/request"
 )
 
@@ -165,7 +166,12 @@
 // serveForward passes a request to the agent that granted its key.
 func (x *exchange) serveForward() {
 	granter, ok := x.g.findPeer(x.key.Granter)
-	if !ok || x.hops > 0 {
+	if !ok {
+		// It may be draining, or not among the sampled peers. An agent's stream
+		// address equals the address that its keys name.
+		granter = member.Member{Kind: member.Agent, Addr: x.key.Granter, Stream: x.key.Granter, Service: x.spec.ID}
+	}
+	if x.hops > 0 {
 		x.writeProblem(unknownOutcome(http.StatusBadGateway,
 			"the agent that granted the key is gone; check whether the request ran before you send it with a fresh key"))
 		return
--- /dev/null
+++ b/internal/idempotency/closed.go
@@ -0,0 +1,183 @@
+package idempotency
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+)
+
+const (
+	// MaxClosedBytes bounds the encoded form of a closed ledger.
+	MaxClosedBytes = 4 << 20
+	// closedAnswerBytes bounds the answers that a closed ledger takes along.
+	closedAnswerBytes = 1 << 20
+	// maxClosedRecords and maxClosedBlocks bound what a closed ledger takes along.
+	maxClosedRecords = 4096
+	maxClosedBlocks  = 4096
+	// MaxArchived is the number of closed ledgers that an Archive keeps.
+	MaxArchived = 256
+)
+
+var errClosedInvalid = errkind.New(errkind.Invalid, "the closed ledger is malformed or too large",
+	"run the same release on all agents")
+
+// Closed is the final state of the ledger of an agent that leaves. The agent
+// hands it to peers, so that keys which it issued are still answered for.
+type Closed struct {
+	// Granter and Incarnation identify the process life that granted the keys.
+	Granter     netip.AddrPort `msgpack:"granter"`
+	Incarnation uint64         `msgpack:"incarnation"`
+	// Blocks hold the marks of all numbers that were used or refused. Incomplete
+	// reports that there were too many.
+	Blocks     []ClosedBlock `msgpack:"blocks"`
+	Incomplete bool          `msgpack:"incomplete,omitempty"`
+	// Records hold the outcomes that are kept for replay.
+	Records []ClosedRecord `msgpack:"records"`
+}
+
+// ClosedBlock holds the marks of consecutive numbers.
+type ClosedBlock struct {
+	Number uint64                               `msgpack:"n"`
+	Words  [marksPerBlock / marksPerWord]uint64 `msgpack:"w"`
+}
+
+// ClosedRecord is the outcome of one key's request.
+type ClosedRecord struct {
+	Counter     uint64      `msgpack:"n"`
+	Fingerprint Fingerprint `msgpack:"f"`
+	// Finished reports that Outcome is known.
+	Finished bool    `msgpack:"d"`
+	Outcome  Outcome `msgpack:"o"`
+}
+
+// Close ends the ledger: from now on it lets no request run. It returns what
+// peers need to answer for the keys. A request under way counts as unknown.
+func (l *Ledger) Close(now time.Time) Closed {
+	l.advance(now)
+	l.closed = true
+	closed := Closed{Granter: l.granter, Incarnation: l.incarnation}
+	for number, block := range l.table.marks {
+		if len(closed.Blocks) == maxClosedBlocks {
+			closed.Incomplete = true
+			break
+		}
+		closed.Blocks = append(closed.Blocks, ClosedBlock{Number: number, Words: block.words})
+	}
+	closed.Records = l.table.closedRecords()
+	return closed
+}
+
+// closedRecords returns the newest records, as far as there is room; the marks
+// tell of the others that they may have run.
+func (t *table) closedRecords() []ClosedRecord {
+	numbers := make([]uint64, 0, len(t.records))
+	for n := range t.records {
+		numbers = append(numbers, n)
+	}
+	slices.Sort(numbers)
+	slices.Reverse(numbers)
+	var records []ClosedRecord
+	bytes := 0
+	for _, n := range numbers[:min(len(numbers), maxClosedRecords)] {
+		rec := t.records[n]
+		closed := ClosedRecord{Counter: n, Fingerprint: rec.fingerprint, Finished: rec.state == finished, Outcome: rec.outcome}
+		bytes += len(closed.Outcome.Body)
+		if bytes > closedAnswerBytes {
+			closed.Outcome.Body = nil
+			closed.Outcome.Whole = false
+		}
+		records = append(records, closed)
+	}
+	return records
+}
+
+// Archive holds the closed ledgers of agents that have left. It is not safe for
+// concurrent use.
+type Archive struct {
+	ledgers map[granterID]*archived
+	// order lists the ledgers, the oldest first.
+	order []granterID
+}
+
+type archived struct {
+	marks      marks
+	incomplete bool
+	records    map[uint64]ClosedRecord
+	added      time.Time
+}
+
+// NewArchive returns an empty archive.
+func NewArchive() *Archive {
+	return &Archive{ledgers: make(map[granterID]*archived)}
+}
+
+// Add keeps a closed ledger until the last of its keys has expired. When there
+// are too many, the oldest is forgotten; its keys then have an unknown outcome.
+func (a *Archive) Add(now time.Time, c Closed) error {
+	if !c.Granter.IsValid() || c.Incarnation == 0 || len(c.Blocks) > maxClosedBlocks || len(c.Records) > maxClosedRecords {
+		return errClosedInvalid
+	}
+	a.expire(now)
+	id := granterID{addr: c.Granter, incarnation: c.Incarnation}
+	if a.ledgers[id] != nil {
+		return nil
+	}
+	if len(a.order) == MaxArchived {
+		a.forgetOldest()
+	}
+	ledger := &archived{marks: make(marks), incomplete: c.Incomplete, records: make(map[uint64]ClosedRecord), added: now}
+	for _, b := range c.Blocks {
+		ledger.marks[b.Number] = &block{words: b.Words}
+	}
+	for _, record := range c.Records {
+		ledger.records[record.Counter] = record
+	}
+	a.ledgers[id] = ledger
+	a.order = append(a.order, id)
+	return nil
+}
+
+// Len returns the number of ledgers.
+func (a *Archive) Len() int { return len(a.order) }
+
+// Decide answers for a key whose granter has left, or reports false when its
+// closed ledger is not here. It never lets a request run: a key that was not
+// used is refused for good, which is certain because its ledger is closed.
+func (a *Archive) Decide(now time.Time, key Key, fp Fingerprint) (Decision, bool) {
+	a.expire(now)
+	ledger := a.ledgers[granterID{addr: key.Granter, incarnation: key.Incarnation}]
+	if ledger == nil {
+		return Decision{}, false
+	}
+	if record, ok := ledger.records[key.Counter]; ok {
+		return record.decide(fp), true
+	}
+	if ledger.marks.get(key.Counter) == used || ledger.incomplete {
+		return Decision{Verdict: OutcomeUnknown}, true
+	}
+	return Decision{Verdict: RefusedBefore}, true
+}
+
+func (r ClosedRecord) decide(fp Fingerprint) Decision {
+	switch {
+	case r.Fingerprint != fp:
+		return Decision{Verdict: KeyReused}
+	case r.Finished:
+		return Decision{Verdict: Replay, Outcome: r.Outcome}
+	default:
+		return Decision{Verdict: OutcomeUnknown}
+	}
+}
+
+func (a *Archive) expire(now time.Time) {
+	for len(a.order) > 0 && now.Sub(a.ledgers[a.order[0]].added) >= KeyLifetime {
+		a.forgetOldest()
+	}
+}
+
+func (a *Archive) forgetOldest() {
+	delete(a.ledgers, a.order[0])
+	a.order = a.order[1:]
+}
--- /dev/null
+++ b/internal/idempotency/closed_test.go
@@ -0,0 +1,83 @@
+package idempotency
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+var (
+	closedStart   = time.Unix(1_800_000_000, 0)
+	closedGranter = netip.MustParseAddrPort("127.1.0.1:7000")
+)
+
+// What peers say of a closed ledger's keys must be what the ledger knew, and
+// neither the ledger nor its copy may let a request run any more.
+func TestClosedLedgerAnswersForItsKeys(t *testing.T) {
+	key := func(counter uint64) Key {
+		return Key{Granter: closedGranter, Incarnation: 7, Counter: counter, Issued: closedStart}
+	}
+	content, other := Fingerprint{1}, Fingerprint{2}
+	ledger := NewLedger(closedGranter, 7)
+	for counter := range uint64(5) {
+		if ledger.Begin(closedStart, key(counter), content).Verdict != Run {
+			t.Fatal("a fresh key must run")
+		}
+	}
+	ledger.Finish(closedStart, key(0), Outcome{Status: 200, Body: []byte("booked"), Whole: true})
+	ledger.Refuse(closedStart, key(1))
+	ledger.Lose(closedStart, key(2))
+	encoded, err := msgpack.Marshal(ledger.Close(closedStart))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var closed Closed
+	if err := msgpack.Unmarshal(encoded, &closed); err != nil {
+		t.Fatal(err)
+	}
+	archive := NewArchive()
+	if err := archive.Add(closedStart, closed); err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		name    string
+		counter uint64
+		content Fingerprint
+		want    Verdict
+	}{
+		{"finished", 0, content, Replay},
+		{"finished, other content", 0, other, KeyReused},
+		{"refused before dispatch", 1, content, RefusedBefore},
+		{"lost", 2, content, OutcomeUnknown},
+		{"under way when the ledger closed", 3, content, OutcomeUnknown},
+		{"never used", 99, content, RefusedBefore},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			decision, ok := archive.Decide(closedStart, key(c.counter), c.content)
+			is.True(ok)
+			is.Equal(decision.Verdict, c.want)
+			is.True(ledger.Begin(closedStart, key(c.counter), c.content).Verdict != Run)
+		})
+	}
+	is := is.New(t)
+	_, ok := archive.Decide(closedStart, Key{Granter: closedGranter, Incarnation: 8}, content)
+	is.True(!ok) // another process life
+	_, ok = archive.Decide(closedStart.Add(KeyLifetime), key(0), content)
+	is.True(!ok) // its keys have expired
+}
+
+func TestArchiveIsBounded(t *testing.T) {
+	is := is.New(t)
+	archive := NewArchive()
+	for incarnation := range uint64(MaxArchived + 10) {
+		is.NoErr(archive.Add(closedStart, Closed{Granter: closedGranter, Incarnation: incarnation + 1}))
+	}
+	is.Equal(archive.Len(), MaxArchived)
+	is.True(archive.Add(closedStart, Closed{}) != nil)
+	is.True(archive.Add(closedStart, Closed{Granter: closedGranter, Incarnation: 1, Blocks: make([]ClosedBlock, maxClosedBlocks+1)}) != nil)
+}
--- a/internal/idempotency/ledger.go
+++ b/internal/idempotency/ledger.go
@@ -13,6 +13,8 @@
 	table       *table
 	latest      time.Time
 	swept       time.Time
+	// closed reports that no further request runs under the ledger's keys.
+	closed bool
 }
 
 // NewLedger returns the empty Ledger of the agent at granter.
@@ -36,6 +38,9 @@
 	if now.Sub(key.Issued) >= KeyLifetime {
 		return Decision{Verdict: OutcomeUnknown}
 	}
+	if l.closed {
+		return l.table.lookUp(key.Counter, fp)
+	}
 	return l.table.begin(now, key.Counter, fp)
 }
 
--- a/internal/idempotency/table.go
+++ b/internal/idempotency/table.go
@@ -100,15 +100,20 @@
 	return &table{marks: make(marks), records: make(map[uint64]*record), room: r}
 }
 
-func (t *table) begin(now time.Time, n uint64, fp Fingerprint) Decision {
+// lookUp decides about n without letting it run: one that was not begun is refused.
+func (t *table) lookUp(n uint64, fp Fingerprint) Decision {
 	if rec := t.records[n]; rec != nil {
 		return rec.decide(fp)
 	}
-	switch t.marks.get(n) {
-	case used:
+	if t.marks.get(n) == used {
 		return Decision{Verdict: OutcomeUnknown}
-	case refused:
-		return Decision{Verdict: RefusedBefore}
+	}
+	return Decision{Verdict: RefusedBefore}
+}
+
+func (t *table) begin(now time.Time, n uint64, fp Fingerprint) Decision {
+	if t.records[n] != nil || t.marks.get(n) != unused {
+		return t.lookUp(n, fp)
 	}
 	if t.room.records >= t.room.maxRecords {
 		t.marks.set(now, n, refused)
--- a/internal/request/records.go
+++ b/internal/request/records.go
@@ -38,6 +38,7 @@
 	self        netip.AddrPort
 	incarnation uint64
 	ledger      *idempotency.Ledger
+	archive     *idempotency.Archive
 	grants      *idempotency.GrantLog
 	granted     uint64
 	// executors holds the lives of peers, as they told them.
@@ -50,6 +51,7 @@
 		self:        self,
 		incarnation: incarnation,
 		ledger:      idempotency.NewLedger(self, incarnation),
+		archive:     idempotency.NewArchive(),
 		grants:      idempotency.NewGrantLog(incarnation),
 		executors:   make(map[netip.AddrPort]idempotency.Life),
 	}
@@ -60,6 +62,9 @@
 func (r *Records) Begin(now time.Time, s Subject, fp idempotency.Fingerprint) idempotency.Decision {
 	switch s.Kind {
 	case ByKey:
+		if decision, ok := r.archive.Decide(now, s.Key, fp); ok {
+			return decision
+		}
 		return r.ledger.Begin(now, s.Key, fp)
 	case ByGrant:
 		return r.grants.Begin(now, s.Grant, fp)
@@ -68,6 +73,14 @@
 	}
 }
 
+// Close ends the ledger of this agent for good and returns it, for peers.
+func (r *Records) Close(now time.Time) idempotency.Closed { return r.ledger.Close(now) }
+
+// Inherit keeps the closed ledger of another agent, to answer for its keys.
+func (r *Records) Inherit(now time.Time, c idempotency.Closed) error {
+	return r.archive.Add(now, c)
+}
+
 // Refuse records that the request certainly was not run; it never runs later.
 func (r *Records) Refuse(now time.Time, s Subject) {
 	switch s.Kind {
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -40,10 +40,6 @@
 	if err := validateAddress("fabricAddress", b.FabricAddress); err != nil {
 		return err
 	}
-	if b.Stream != b.Address {
-		return invalid("stream", fmt.Sprintf("is %v, and address is %v", b.Stream, b.Address),
-			"leave it out; agents look for the TCP address of a balancer at its address")
-	}
 	if b.FabricListen == b.Address {
 		return invalid("fabricListen", "is the same as address", "give the packets of the fabric a UDP port of their own")
 	}
@@ -204,6 +200,10 @@
 	if err := validateAddress("stream", c.Stream); err != nil {
 		return err
 	}
+	if c.Stream != c.Address {
+		return invalid("stream", fmt.Sprintf("is %v, and address is %v", c.Stream, c.Address),
+			"leave it out; peers look for the TCP address of a process at its UDP address")
+	}
 	if err := validateAddress("admin", c.Admin); err != nil {
 		return err
 	}
