--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -100,6 +101,7 @@
 		fail(w, http.StatusBadRequest, etcdapi.CodeInvalidArgument, "request is too large")
 		return
 	}
+	write = write && !isReadOnly(r.URL.Path, body)
 	fault := p.nextFault(r.URL.Path, write)
 	if !p.before(w, fault, write) {
 		return
@@ -119,7 +121,7 @@
 // handler serves one call whose body was read.
 type handler func(w http.ResponseWriter, r *http.Request, body []byte)
 
-// route returns the handler of path and whether the call is a write.
+// route returns the handler of path and whether the call may write.
 func (p *Platform) route(path string) (serve handler, write bool) {
 	switch path {
 	case etcdapi.PathRange:
@@ -139,6 +141,20 @@
 	}
 }
 
+// isReadOnly reports whether body is a transaction that writes nothing.
+func isReadOnly(path string, body []byte) bool {
+	var request etcdapi.TxnRequest
+	if path != etcdapi.PathTxn || json.Unmarshal(body, &request) != nil {
+		return false
+	}
+	for _, op := range slices.Concat(request.Success, request.Failure) {
+		if op.Put != nil || op.DeleteRange != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // before applies the faults that act ahead of the call and reports whether to go on.
 func (p *Platform) before(w http.ResponseWriter, fault Fault, write bool) bool {
 	faults := p.Faults()
--- a/internal/standin/platform/server_test.go
+++ b/internal/standin/platform/server_test.go
@@ -102,7 +102,8 @@
 		watches int
 		want    int
 	}{
-		{"writes", etcdapi.PathTxn, `{}`, 0, platform.WritesPerSecond},
+		{"writes", etcdapi.PathTxn, `{"success":[{"request_put":{"key":"YQ=="}}]}`, 0, platform.WritesPerSecond},
+		{"reads by transaction", etcdapi.PathTxn, `{"success":[{"request_range":{"key":"YQ=="}}]}`, 0, platform.ReadsPerSecond},
 		{"reads", etcdapi.PathRange, `{"key":"YQ=="}`, 0, platform.ReadsPerSecond},
 		{"reads beside watches", etcdapi.PathRange, `{"key":"YQ=="}`, watches, platform.ReadsPerSecond - watches},
 	}
--- a/internal/store/etcdapi/etcdapi.go
+++ b/internal/store/etcdapi/etcdapi.go
@@ -114,10 +114,11 @@
 
 // Compare is a condition of a transaction.
 type Compare struct {
-	Result      string `json:"result,omitempty"`
-	Target      string `json:"target,omitempty"`
-	Key         []byte `json:"key,omitempty"`
-	ModRevision Int64  `json:"mod_revision,omitempty"`
+	Result string `json:"result,omitempty"`
+	Target string `json:"target,omitempty"`
+	Key    []byte `json:"key,omitempty"`
+	// ModRevision is sent also when it is zero, which means that the key does not exist.
+	ModRevision Int64 `json:"mod_revision"`
 }
 
 // PutRequest writes one key.
