--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -4,6 +4,7 @@
 package platform
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -100,6 +101,7 @@
 		fail(w, http.StatusBadRequest, etcdapi.CodeInvalidArgument, "request is too large")
 		return
 	}
+	write = write && !isReadOnly(r.URL.Path, body)
 	fault := p.nextFault(r.URL.Path, write)
 	if !p.before(w, fault, write) {
 		return
@@ -119,7 +121,7 @@
 // handler serves one call whose body was read.
 type handler func(w http.ResponseWriter, r *http.Request, body []byte)
 
-// route returns the handler of path and whether the call is a write.
+// route returns the handler of path and whether the call may write.
 func (p *Platform) route(path string) (serve handler, write bool) {
 	switch path {
 	case etcdapi.PathRange:
@@ -139,6 +141,14 @@
 	}
 }
 
+// isReadOnly reports whether body is a transaction that writes nothing. Keys and
+// values are in base64, so the names of operations appear nowhere else.
+func isReadOnly(path string, body []byte) bool {
+	return path == etcdapi.PathTxn &&
+		!bytes.Contains(body, []byte(`"request_put"`)) &&
+		!bytes.Contains(body, []byte(`"request_delete_range"`))
+}
+
 // before applies the faults that act ahead of the call and reports whether to go on.
 func (p *Platform) before(w http.ResponseWriter, fault Fault, write bool) bool {
 	faults := p.Faults()
@@ -153,6 +163,8 @@
 		panic(http.ErrAbortHandler)
 	case LoseRequest:
 		panic(http.ErrAbortHandler)
+	case Stall:
+		time.Sleep(faults.LateBy)
 	case Reject:
 		fail(w, http.StatusTooManyRequests, etcdapi.CodeResourceExhausted, "etcdserver: too many requests")
 		return false
