--- a/internal/control/fault_test.go
+++ b/internal/control/fault_test.go
@@ -155,6 +155,31 @@
 	})
 }
 
+// TestDeadMembersDoNotComeBackAfterALongPartition keeps regions apart for longer
+// than dead members are remembered: the other side still holds them alive.
+func TestDeadMembersDoNotComeBackAfterALongPartition(t *testing.T) {
+	f := newFleet(24, 2, 3, 2)
+	f.Cut = func(from, to *memnet.Host) bool { return from.DataCentre != to.DataCentre }
+	f.agents[0].Down, f.balancers[0].Down = true, true
+	f.Run(11 * time.Minute)
+	far := f.balancers[5]
+	if far.Node.Table().Get(f.agents[0].Addr).State != member.Serving || f.balancers[1].Node.Table().Get(f.agents[0].Addr) != nil {
+		t.Fatal("the partition did not make the views differ")
+	}
+	f.Cut = nil
+	gone := func(b, h *memnet.Host) bool {
+		r := b.Node.Table().Get(h.Addr)
+		return r == nil || r.State == member.Dead
+	}
+	f.mustHappen(t, "dead for all", 30*time.Second, func() bool {
+		return f.allBalancers(func(b *memnet.Host) bool { return gone(b, f.agents[0]) && gone(b, f.balancers[0]) })
+	})
+	f.Run(time.Minute)
+	if !f.allBalancers(func(b *memnet.Host) bool { return gone(b, f.agents[0]) && gone(b, f.balancers[0]) }) {
+		t.Fatal("a dead member came back")
+	}
+}
+
 func TestSplitDataCentreHeals(t *testing.T) {
 	f := newFleet(15, 1, 6, 6)
 	side := func(h *memnet.Host) bool { return h.Addr.Addr().As4()[3]%2 == 0 }
