Control: repair pulls pause so as to stay within a quarter of the budget

Cause: right after 2711 agents joined one data centre at once, pulls for repair took 8139 bytes/s of streams per balancer, beside the ceiling for datagrams. Change: after a pull of n bytes, the next waits until the share allows it.

--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -11,6 +11,15 @@
 // maxRepairBuckets bounds the buckets pulled at a time.
 const maxRepairBuckets = 16
 
+// Bounds of the traffic of repair.
+const (
+	// streamMemberSize is the size of a member in a pull, in bytes.
+	streamMemberSize = 70
+	// repairShare is the share of the ceiling that pulls may take on average. The
+	// first pull of a joining node is exempt.
+	repairShare = 0.25
+)
+
 // repairSends is the number of times that a repaired record is passed on; it is
 // low because repair reaches other nodes as well.
 const repairSends = gossipFanout
@@ -19,7 +28,8 @@
 type repair struct {
 	b    *balancer
 	next time.Time
-	// pulling is the end of the wait for the running pull.
+	// pulling is the end of the wait for the running pull, or of the pause after
+	// one that keeps repair within its share of the budget.
 	pulling time.Time
 	peer    netip.AddrPort
 }
@@ -85,7 +95,7 @@
 	}
 }
 
-// pull asks for buckets of a peer's table, unless a pull is running.
+// pull asks for buckets of a peer's table, unless it must wait.
 func (r *repair) pull(now time.Time, peer, stream netip.AddrPort, buckets []uint8) {
 	if now.Before(r.pulling) || !stream.IsValid() {
 		return
@@ -112,6 +122,11 @@
 		r.b.n.counters.FailedPulls++
 		return
 	}
+	if r.b.joined {
+		rate := repairShare * float64(r.b.n.cfg.BytesPerSecond)
+		seconds := float64(len(members)*streamMemberSize) / rate
+		r.pulling = now.Add(time.Duration(seconds * float64(time.Second)))
+	}
 	for _, m := range members {
 		if checkMember(m) != nil {
 			r.b.n.counters.BadMessages++
