Control: nodes of a data centre repair different buckets

Cause: every node pulled the lowest sixteen of the buckets that differed; at the design size that is 190 KB a pull, mostly of members that do not differ. Change: a pull is sized by the table and starts at a random bucket.

--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -8,13 +8,12 @@
 	"github.com/almondledge/almondledge/internal/presence"
 )
 
-// maxRepairBuckets bounds the buckets pulled at a time.
-const maxRepairBuckets = 16
-
 // Bounds of the traffic of repair.
 const (
 	// streamMemberSize is the size of a member in a pull, in bytes.
 	streamMemberSize = 70
+	// maxPullSize is the size of one pull that repair aims at, in bytes.
+	maxPullSize = 20_000
 	// repairShare is the share of the ceiling that pulls may take on average. The
 	// first pull of a joining node is exempt.
 	repairShare = 0.25
@@ -91,10 +90,24 @@
 		r.sendDigest(now, from, true)
 	}
 	if len(buckets) > 0 {
-		r.pull(now, from, self.Stream, buckets[:min(len(buckets), maxRepairBuckets)])
+		r.pull(now, from, self.Stream, r.chooseBuckets(buckets))
 	}
 }
 
+// chooseBuckets returns as many of the buckets as one pull may carry, from a
+// random place on, so that the nodes of a data centre repair different parts
+// and tell each other.
+func (r *repair) chooseBuckets(buckets []uint8) []uint8 {
+	bucketSize := max(1, r.b.table.Len()*streamMemberSize/presence.Buckets)
+	n := min(len(buckets), max(1, maxPullSize/bucketSize))
+	start := r.b.n.cfg.Rand.IntN(len(buckets))
+	chosen := make([]uint8, 0, n)
+	for i := range n {
+		chosen = append(chosen, buckets[(start+i)%len(buckets)])
+	}
+	return chosen
+}
+
 // pull asks for buckets of a peer's table, unless it must wait.
 func (r *repair) pull(now time.Time, peer, stream netip.AddrPort, buckets []uint8) {
 	if now.Before(r.pulling) || !stream.IsValid() {
