--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -8,8 +8,16 @@
 	"github.com/almondledge/almondledge/internal/presence"
 )
 
-// maxRepairBuckets bounds the buckets pulled at a time.
-const maxRepairBuckets = 16
+// Bounds of the traffic of repair.
+const (
+	// streamMemberSize is the size of a member in a pull, in bytes.
+	streamMemberSize = 70
+	// maxPullSize is the size of one pull that repair aims at, in bytes.
+	maxPullSize = 20_000
+	// repairShare is the share of the ceiling that pulls may take on average. The
+	// first pull of a joining node is exempt.
+	repairShare = 0.25
+)
 
 // repairSends is the number of times that a repaired record is passed on; it is
 // low because repair reaches other nodes as well.
@@ -19,7 +27,8 @@
 type repair struct {
 	b    *balancer
 	next time.Time
-	// pulling is the end of the wait for the running pull.
+	// pulling is the end of the wait for the running pull, or of the pause after
+	// one that keeps repair within its share of the budget.
 	pulling time.Time
 	peer    netip.AddrPort
 }
@@ -81,11 +90,25 @@
 		r.sendDigest(now, from, true)
 	}
 	if len(buckets) > 0 {
-		r.pull(now, from, self.Stream, buckets[:min(len(buckets), maxRepairBuckets)])
+		r.pull(now, from, self.Stream, r.chooseBuckets(buckets))
 	}
 }
 
-// pull asks for buckets of a peer's table, unless a pull is running.
+// chooseBuckets returns as many of the buckets as one pull may carry, from a
+// random place on, so that the nodes of a data centre repair different parts
+// and tell each other.
+func (r *repair) chooseBuckets(buckets []uint8) []uint8 {
+	bucketSize := max(1, r.b.table.Len()*streamMemberSize/presence.Buckets)
+	n := min(len(buckets), max(1, maxPullSize/bucketSize))
+	start := r.b.n.cfg.Rand.IntN(len(buckets))
+	chosen := make([]uint8, 0, n)
+	for i := range n {
+		chosen = append(chosen, buckets[(start+i)%len(buckets)])
+	}
+	return chosen
+}
+
+// pull asks for buckets of a peer's table, unless it must wait.
 func (r *repair) pull(now time.Time, peer, stream netip.AddrPort, buckets []uint8) {
 	if now.Before(r.pulling) || !stream.IsValid() {
 		return
@@ -112,6 +135,11 @@
 		r.b.n.counters.FailedPulls++
 		return
 	}
+	if r.b.joined {
+		rate := repairShare * float64(r.b.n.cfg.BytesPerSecond)
+		seconds := float64(len(members)*streamMemberSize) / rate
+		r.pulling = now.Add(time.Duration(seconds * float64(time.Second)))
+	}
 	for _, m := range members {
 		if checkMember(m) != nil {
 			r.b.n.counters.BadMessages++
