--- a/internal/lab/caller/flow.go
+++ b/internal/lab/caller/flow.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -81,17 +80,6 @@
 	opened  int
 }
 
-// connection is one QUIC connection of a flow.
-type connection struct {
-	quic   *quic.Conn
-	http   *http3.ClientConn
-	opened time.Time
-
-	mu       sync.Mutex // guards the fields below
-	inFlight int
-	agent    string
-}
-
 // NewFlow returns a flow with a socket of its own, so that each flow has its own
 // caller address. It connects with the first request, or with Open.
 func NewFlow(cfg Config) (*Flow, error) {
@@ -246,13 +234,6 @@
 	}
 }
 
-// isGraceful reports whether a connection ended by H3_NO_ERROR: the server
-// closed it, or the client did after a GOAWAY.
-func isGraceful(cause error) bool {
-	app, ok := errors.AsType[*quic.ApplicationError](cause)
-	return ok && app.ErrorCode == quic.ApplicationErrorCode(http3.ErrCodeNoError)
-}
-
 // roundTrip sends a request on the current connection. A request that was not
 // sent, since the connection had ended or its server said GOAWAY, goes out on a
 // new connection once.
@@ -281,28 +262,3 @@
 		}
 	}
 }
-
-// lastAgent returns the agent that answered last, if known. A nil connection has none.
-func (c *connection) lastAgent() string {
-	if c == nil {
-		return ""
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.agent
-}
-
-func (c *connection) begin() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.inFlight++
-}
-
-func (c *connection) finish(agent string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.inFlight--
-	if agent != "" {
-		c.agent = agent
-	}
-}
