--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -18,6 +18,7 @@
 	Get      getCmd      `cmd:"" help:"Fetch a URL over HTTP/3."`
 	Forward  forwardCmd  `cmd:"" help:"Compare forwarding with a bare UDP relay."`
 	Flows    flowsCmd    `cmd:"" help:"Measure what flows and requests cost an agent and its balancers."`
+	Latency  latencyCmd  `cmd:"" help:"Compare request times with a direct HTTP/3 call."`
 	Slopes   slopesCmd   `cmd:"" help:"Measure how control grows with the number of nodes."`
 	State    stateCmd    `cmd:"" help:"Measure what one balancer holds at the design size."`
 }
