--- a/internal/ticket/fault_test.go
+++ b/internal/ticket/fault_test.go
@@ -53,18 +53,29 @@
 // after writes that land late, and that the same ticket can always be submitted again.
 func TestEveryFaultAtEveryStep(t *testing.T) {
 	const soon = 120 * time.Millisecond
-	for _, lateBy := range []time.Duration{soon, time.Minute} {
-		for _, bursts := range faultCases() {
-			if lateBy == soon && !hasLate(bursts) {
-				continue
+	const shards = 3
+	for shard := range shards {
+		t.Run(fmt.Sprint("shard ", shard), func(t *testing.T) {
+			t.Parallel()
+			for i, bursts := range faultCases() {
+				if i%shards != shard {
+					continue
+				}
+				runFaultCase(t, bursts, time.Minute)
+				if hasLate(bursts) {
+					runFaultCase(t, bursts, soon)
+				}
 			}
-			t.Run(fmt.Sprint(lateBy, bursts), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) { submitUnderFaults(t, bursts, lateBy) })
-			})
-		}
+		})
 	}
 }
 
+func runFaultCase(t *testing.T, bursts []burst, lateBy time.Duration) {
+	t.Run(fmt.Sprint(lateBy, bursts), func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) { submitUnderFaults(t, bursts, lateBy) })
+	})
+}
+
 func hasLate(bursts []burst) bool {
 	return slices.ContainsFunc(bursts, func(b burst) bool { return b.fault == platform.Late || b.fault == platform.Stall })
 }
