Replies avoid a balancer that is silent amid traffic

Ruled out: shorter heartbeats (control budget), a new balancer for every packet (reordering). Change: package replypath; a balancer that delivered nothing for 100 ms while others delivered 32 packets is not chosen, until it is heard again.

--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -64,8 +64,10 @@
 func (l *link) handle(now time.Time, from netip.AddrPort, message *envelope.Envelope, scratch *connid.Scratch) {
 	switch message.Type {
 	case envelope.Control:
+		l.conn.replies.Heard(from, now)
 		l.handleControl(from, append([]byte(nil), message.Payload...))
 	case envelope.Inbound:
+		l.conn.replies.Heard(from, now)
 		l.handleInbound(now, message, scratch)
 	case envelope.Claim:
 		l.handleClaim(now, message)
--- a/internal/agent/packetconn.go
+++ b/internal/agent/packetconn.go
@@ -8,10 +8,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/almondledge/almondledge/internal/envelope"
-	"github.com/almondledge/almondledge/internal/routing"
+	"github.com/almondledge/almondledge/internal/replypath"
 	"github.com/almondledge/almondledge/internal/service"
 	"github.com/almondledge/almondledge/internal/udpbatch"
 )
@@ -19,9 +17,6 @@
 // receiveQueueLen is the number of packets that wait for the QUIC endpoint.
 const receiveQueueLen = 4096
 
-// replyWeight is the weight of every balancer when an agent chooses one.
-const replyWeight = 1
-
 // packetConn is the net.PacketConn under the QUIC endpoint. It receives what
 // the link hands in and sends through a balancer that is alive. Its peers have
 // the addresses of the callers.
@@ -29,6 +24,8 @@
 	link    udpbatch.Conn
 	sealer  *envelope.Sealer
 	metrics *Metrics
+	// replies chooses among the balancers that replyTargets returns.
+	replies *replypath.Chooser
 	// replyTargets returns the balancers that answered lately.
 	replyTargets func() []netip.AddrPort
 	// route is the service and its address, as packets carry them.
@@ -60,6 +57,7 @@
 		link:         link,
 		sealer:       sealer,
 		metrics:      metrics,
+		replies:      replypath.NewChooser(),
 		replyTargets: targets,
 		queue:        make(chan callerPacket, receiveQueueLen),
 		buffers:      sync.Pool{New: func() any { return new([udpbatch.MaxDatagram]byte) }},
@@ -132,7 +130,7 @@
 	route := c.route.Load()
 	caller := udp.AddrPort()
 	caller = netip.AddrPortFrom(caller.Addr().Unmap(), caller.Port())
-	balancer, ok := chooseBalancer(caller, c.replyTargets())
+	balancer, ok := c.replies.Choose(caller, c.replyTargets(), time.Now())
 	if !ok || route == nil {
 		// Lost, like a packet on a bad path; QUIC sends it again.
 		c.metrics.noBalancer.Inc()
@@ -158,23 +156,6 @@
 	return len(p), nil
 }
 
-// chooseBalancer returns the balancer for the replies to a caller.
-func chooseBalancer(caller netip.AddrPort, targets []netip.AddrPort) (netip.AddrPort, bool) {
-	if len(targets) == 0 {
-		return netip.AddrPort{}, false
-	}
-	octets := caller.Addr().As16()
-	flow := xxhash.Sum64(octets[:]) + uint64(caller.Port())
-	best := targets[0]
-	bestScore := routing.Score(flow, best, replyWeight)
-	for _, target := range targets[1:] {
-		if score := routing.Score(flow, target, replyWeight); score > bestScore {
-			best, bestScore = target, score
-		}
-	}
-	return best, true
-}
-
 // Close ends reads.
 func (c *packetConn) Close() error {
 	c.once.Do(func() { close(c.closed) })
--- /dev/null
+++ b/internal/replypath/replypath.go
@@ -0,0 +1,110 @@
+// Package replypath chooses the balancer through which an agent answers a
+// caller. A caller keeps its balancer while that one is alive, so that its
+// packets stay in order. Heartbeats tell of a death after more than a second;
+// silence amid traffic tells sooner: the fabric sprays packets over all
+// balancers, so one that delivers nothing while the others deliver many is
+// most likely dead.
+package replypath
+
+import (
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/almondledge/almondledge/internal/routing"
+)
+
+const (
+	// silentPackets is the number of packets that others must have delivered
+	// since a balancer's last one before its silence means anything.
+	silentPackets = 32
+	// silentTime is the least silence that means anything.
+	silentTime = 100 * time.Millisecond
+	// maxHeard bounds the balancers that are watched.
+	maxHeard = 8192
+	// equalWeight is the weight of every balancer.
+	equalWeight = 1
+)
+
+// Chooser chooses balancers. It is safe for concurrent use; Heard and Choose
+// take no lock.
+type Chooser struct {
+	// received counts the packets of all balancers.
+	received atomic.Uint64
+	heard    sync.Map // of netip.AddrPort to *clock
+	size     atomic.Int64
+}
+
+// clock is when a balancer was last heard.
+type clock struct {
+	// nanos is the time, packets the count of all packets then.
+	nanos   atomic.Int64
+	packets atomic.Uint64
+}
+
+// NewChooser returns a chooser that has heard nobody.
+func NewChooser() *Chooser {
+	return &Chooser{}
+}
+
+// Heard notes that a balancer delivered a packet.
+func (c *Chooser) Heard(balancer netip.AddrPort, now time.Time) {
+	count := c.received.Add(1)
+	stored, ok := c.heard.Load(balancer)
+	if !ok {
+		if c.size.Load() >= maxHeard {
+			return
+		}
+		var loaded bool
+		stored, loaded = c.heard.LoadOrStore(balancer, &clock{})
+		if !loaded {
+			c.size.Add(1)
+		}
+	}
+	if last, ok := stored.(*clock); ok {
+		last.nanos.Store(now.UnixNano())
+		last.packets.Store(count)
+	}
+}
+
+// Choose returns the balancer for the answers to a caller: the best ranked of
+// targets that is not silent, or the best ranked if all are.
+func (c *Chooser) Choose(caller netip.AddrPort, targets []netip.AddrPort, now time.Time) (netip.AddrPort, bool) {
+	if len(targets) == 0 {
+		return netip.AddrPort{}, false
+	}
+	octets := caller.Addr().As16()
+	flow := xxhash.Sum64(octets[:]) + uint64(caller.Port())
+	var best netip.AddrPort
+	var bestScore float64
+	bestSilent := true
+	for _, target := range targets {
+		silent := c.silent(target, now)
+		score := routing.Score(flow, target, equalWeight)
+		better := !best.IsValid() || silent == bestSilent && score > bestScore || bestSilent && !silent
+		if better {
+			best, bestScore, bestSilent = target, score, silent
+		}
+	}
+	return best, true
+}
+
+// silent reports whether a balancer that delivered packets has stopped while
+// others go on. One that never delivered any is not silent.
+func (c *Chooser) silent(balancer netip.AddrPort, now time.Time) bool {
+	stored, ok := c.heard.Load(balancer)
+	if !ok {
+		return false
+	}
+	last, ok := stored.(*clock)
+	if !ok {
+		return false
+	}
+	if c.received.Load()-last.packets.Load() < silentPackets {
+		return false
+	}
+	return now.Sub(time.Unix(0, last.nanos.Load())) >= silentTime
+}
--- /dev/null
+++ b/internal/replypath/replypath_test.go
@@ -0,0 +1,78 @@
+package replypath
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var (
+	start     = time.Unix(1_800_000_000, 0)
+	caller    = netip.MustParseAddrPort("127.9.9.9:40000")
+	balancers = []netip.AddrPort{
+		netip.MustParseAddrPort("127.1.1.1:7000"),
+		netip.MustParseAddrPort("127.1.1.2:7000"),
+		netip.MustParseAddrPort("127.1.1.3:7000"),
+	}
+)
+
+// deliver lets balancers deliver packets in turn over a time.
+func deliver(c *Chooser, from time.Time, packets int, step time.Duration, senders ...netip.AddrPort) time.Time {
+	now := from
+	for i := range packets {
+		now = now.Add(step)
+		c.Heard(senders[i%len(senders)], now)
+	}
+	return now
+}
+
+func TestChoose(t *testing.T) {
+	favourite, ok := NewChooser().Choose(caller, balancers, start)
+	if !ok {
+		t.Fatal("no balancer chosen")
+	}
+	var others []netip.AddrPort
+	for _, b := range balancers {
+		if b != favourite {
+			others = append(others, b)
+		}
+	}
+	cases := []struct {
+		name string
+		// after is what arrived after a first round of packets from all.
+		packets int
+		step    time.Duration
+		senders []netip.AddrPort
+		keeps   bool
+	}{
+		{"all deliver", 300, time.Millisecond, balancers, true},
+		{"favourite is silent amid traffic", 300, time.Millisecond, others, false},
+		{"favourite is silent for a moment only", 60, time.Millisecond, others, true},
+		{"little traffic says nothing", 20, time.Second, others, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			chooser := NewChooser()
+			now := deliver(chooser, start, 30, time.Millisecond, balancers...)
+			now = deliver(chooser, now, c.packets, c.step, c.senders...)
+			got, ok := chooser.Choose(caller, balancers, now)
+			is.True(ok)
+			is.Equal(got == favourite, c.keeps)
+		})
+	}
+	_, ok = NewChooser().Choose(caller, nil, start)
+	is.New(t).True(!ok)
+}
+
+func TestChooserIsBounded(t *testing.T) {
+	is := is.New(t)
+	chooser := NewChooser()
+	for i := range maxHeard + 100 {
+		addr := netip.AddrFrom4([4]byte{127, byte(i >> 16), byte(i >> 8), byte(i)})
+		chooser.Heard(netip.AddrPortFrom(addr, 7000), start)
+	}
+	is.Equal(chooser.size.Load(), int64(maxHeard))
+}
