--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -16,6 +16,10 @@
 	piggybackMembers = 4
 )
 
+// urgentExtraSends makes it less likely that urgent news dies out before the last
+// node has heard it: that node would learn it by repair only, which is slower.
+const urgentExtraSends = 2 * gossipFanout
+
 // urgentPause is the time in which only the first news of a member is urgent.
 const urgentPause = 5 * time.Second
 
@@ -100,6 +104,9 @@
 		old.superseded = true
 	}
 	r := &rumor{m: m, left: sends, urgent: g.isUrgent(now, m)}
+	if r.urgent {
+		r.left += urgentExtraSends
+	}
 	if firstHand {
 		g.addRemote(r)
 	}
