Requests: health by outcomes; tests of admission, retry and the state machine

Cause: the health endpoint of a backend server lags or misleads, and the limits and the single transitions had no tests of their own. Change: an agent whose backend server fails five requests in a row reports full load and sends its requests to peers while any has room, for 5 s, doubled each time up to 60 s. Deadline misses of callers that leave less than half of the service's deadline don't count, so that no caller can eject a backend server. A draining agent keeps a request only when no peer could be reached.

--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,190 @@
+package admission
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/almondledge/almondledge/internal/service"
+)
+
+var (
+	start = time.Unix(1_000_000, 0)
+	noisy = netip.MustParseAddr("10.0.1.1")
+	quiet = netip.MustParseAddr("10.0.2.1")
+)
+
+func limits(slots, queue int) service.Limits {
+	return service.Limits{Slots: slots, QueueLength: queue}
+}
+
+// offer offers a request with a minute to go and returns its ticket and verdict.
+func offer(c *Controller, now time.Time, caller netip.Addr) (Ticket, Decision, []Change) {
+	return c.Offer(now, 0, caller, now.Add(time.Minute))
+}
+
+func TestSlotsAndQueueAreBounds(t *testing.T) {
+	is := is.New(t)
+	c := New(start, limits(2, 1), Ramp{})
+	first, d, _ := offer(c, start, noisy)
+	is.Equal(d.Verdict, Admitted)
+	is.Equal(c.Load(start), uint8(127))
+	_, d, _ = offer(c, start, noisy)
+	is.Equal(d.Verdict, Admitted)
+	is.Equal(c.Load(start), uint8(255))
+	waiting, d, _ := offer(c, start, noisy)
+	is.Equal(d.Verdict, Queued)
+	_, d, _ = offer(c, start, noisy)
+	is.Equal(d, Decision{Verdict: Refused, Reason: ReasonQueueFull, RetryAfter: minRetryAfter})
+
+	is.Equal(c.Release(start, 0, first), []Change{{Ticket: waiting, Decision: Decision{Verdict: Admitted}}})
+	is.Equal(c.Release(start, 0, first), nil) // a second release frees nothing
+	is.Equal(c.Running(), 2)
+	is.Equal(c.Waiting(), 0)
+}
+
+// TestNoisyCallerGetsItsShareOnly: the caller with fewer requests is served
+// next, and takes a place in a queue that the noisy one filled.
+func TestNoisyCallerGetsItsShareOnly(t *testing.T) {
+	is := is.New(t)
+	c := New(start, limits(1, 2), Ramp{})
+	running, _, _ := offer(c, start, noisy)
+	older, _, _ := offer(c, start, noisy)
+	newer, _, _ := offer(c, start, noisy)
+	guest, d, changes := offer(c, start, quiet)
+	is.Equal(d.Verdict, Queued)
+	is.Equal(len(changes), 1)
+	is.Equal(changes[0].Ticket, newer)
+	is.Equal(changes[0].Decision.Reason, ReasonUnfair)
+	_, d, _ = offer(c, start, quiet) // the queue is shared evenly now
+	is.Equal(d.Verdict, Refused)
+
+	is.Equal(c.Release(start, 0, running)[0].Ticket, older) // it came first and holds as little
+	is.Equal(c.Release(start, 0, older)[0].Ticket, guest)
+
+	c = New(start, limits(2, 9), Ramp{})
+	first, _, _ := offer(c, start, noisy)
+	offer(c, start, noisy)
+	offer(c, start, noisy)
+	guest, _, _ = offer(c, start, quiet)
+	is.Equal(c.Release(start, 0, first)[0].Ticket, guest) // noisy still holds a slot
+}
+
+func TestCallersTakeTurns(t *testing.T) {
+	is := is.New(t)
+	c := New(start, limits(1, 9), Ramp{})
+	running, _, _ := offer(c, start, noisy)
+	callers := make(map[Ticket]netip.Addr)
+	for _, caller := range []netip.Addr{noisy, noisy, noisy, quiet, quiet} {
+		ticket, _, _ := offer(c, start, caller)
+		callers[ticket] = caller
+	}
+	var order []netip.Addr
+	for len(order) < len(callers) {
+		running = c.Release(start, 0, running)[0].Ticket
+		order = append(order, callers[running])
+	}
+	is.Equal(order, []netip.Addr{noisy, quiet, noisy, quiet, noisy})
+}
+
+func TestWaitingRequestsLeaveAtOnce(t *testing.T) {
+	is := is.New(t)
+	c := New(start, limits(1, 5), Ramp{})
+	running, _, _ := offer(c, start, noisy)
+	expiring, _, _ := c.Offer(start, 0, noisy, start.Add(time.Second))
+	cancelled, _, _ := offer(c, start, noisy)
+	next, ok := c.NextTick(start)
+	is.True(ok)
+	is.Equal(next, start.Add(time.Second))
+	changes := c.Tick(next, 0)
+	is.Equal(len(changes), 1)
+	is.Equal(changes[0].Ticket, expiring)
+	is.Equal(changes[0].Decision.Reason, ReasonDeadline)
+	c.Cancel(next, 0, cancelled)
+	is.Equal(c.Waiting(), 0)
+	is.Equal(len(c.Release(next, 0, running)), 0)
+	is.Equal(c.Running(), 0)
+}
+
+// TestRetryAfterFollowsTheMeasuredRate: two slots held 4 s each free one place
+// in 2 s; the second refused caller would be third in line.
+func TestRetryAfterFollowsTheMeasuredRate(t *testing.T) {
+	is := is.New(t)
+	c := New(start, limits(2, 1), Ramp{})
+	now := start
+	for range 20 {
+		one, _, _ := offer(c, now, noisy)
+		two, _, _ := offer(c, now, noisy)
+		now = now.Add(4 * time.Second)
+		c.Release(now, 0, one)
+		c.Release(now, 0, two)
+	}
+	offer(c, now, noisy)
+	offer(c, now, noisy)
+	_, d, _ := c.Offer(now, 0, noisy, now.Add(time.Second))
+	is.Equal(d.Reason, ReasonDeadline) // it would wait 2 s: refused at once, not at its deadline
+	_, d, _ = offer(c, now, noisy)
+	is.Equal(d.Verdict, Queued)
+	_, d, _ = offer(c, now, noisy)
+	is.Equal(d.RetryAfter, 4*time.Second)
+	_, d, _ = c.Offer(now, 0.5, noisy, now.Add(time.Minute))
+	is.Equal(d.RetryAfter, 5*time.Second) // with jitter
+	_, d, _ = offer(c, now.Add(12*time.Second), noisy)
+	is.Equal(d.RetryAfter, 12*time.Second) // the running requests stall
+}
+
+func TestRampAndRate(t *testing.T) {
+	is := is.New(t)
+	c := New(start, limits(4, 9), Ramp{Duration: 4 * time.Second, Initial: 0.25})
+	offer(c, start, noisy)
+	_, d, _ := offer(c, start, noisy)
+	is.Equal(d.Verdict, Queued) // one of four slots at the start
+	next, ok := c.NextTick(start)
+	is.True(ok)
+	is.Equal(next, start.Add(time.Second))
+	is.Equal(len(c.Tick(start.Add(2*time.Second), 0)), 1)
+	is.Equal(c.usableSlots(start.Add(4*time.Second)), 4)
+
+	rated := limits(2, 1)
+	rated.RequestsPerSecond = 10
+	c = New(start, rated, Ramp{})
+	for range 2 {
+		ticket, d, _ := offer(c, start, noisy)
+		is.Equal(d.Verdict, Admitted)
+		c.Release(start, 0, ticket)
+	}
+	_, d, _ = offer(c, start, noisy)
+	is.Equal(d.Verdict, Queued)
+	next, _ = c.NextTick(start)
+	is.Equal(next, start.Add(100*time.Millisecond))
+	_, d, _ = offer(c, start, noisy)
+	is.Equal(d.Reason, ReasonRate)
+	is.Equal(len(c.Tick(next, 0)), 1)
+}
+
+func TestHealthByOutcomes(t *testing.T) {
+	is := is.New(t)
+	var h Health
+	for range outlierFailures - 1 {
+		h.Observe(start, true)
+	}
+	h.Observe(start, false)
+	h.Observe(start, true)
+	is.True(!h.Outlier(start)) // an answer in between starts the count again
+	for range outlierFailures - 1 {
+		h.Observe(start, true)
+	}
+	is.True(h.Outlier(start))
+	is.Equal(h.Until(), start.Add(firstEjection))
+	tried := h.Until()
+	is.True(!h.Outlier(tried))
+	h.Observe(tried, true)
+	is.Equal(h.Until(), tried.Add(2*firstEjection)) // one failure is enough now
+	h.Observe(h.Until(), false)
+	for range outlierFailures {
+		h.Observe(start.Add(time.Hour), true)
+	}
+	is.Equal(h.Until(), start.Add(time.Hour).Add(firstEjection))
+}
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -61,7 +61,8 @@
 	route := request.Route{
 		Repeatable: x.repeatable,
 		Local:      true,
-		PeersFirst: draining,
+		PeersFirst: draining || x.g.health.isOutlier(),
+		Draining:   draining,
 		Peers:      len(x.peers),
 		Deadline:   x.deadline,
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -177,6 +177,32 @@
 		x.releaseSlot()
 		return request.Event{Kind: request.BackendUnreached, Attempt: a.Attempt}
 	}
+	sent := x.g.cfg.Now()
+	event := x.attempt(a)
+	x.observe(event, x.g.cfg.Now().Sub(sent))
+	return event
+}
+
+// observe tells the health of the backend server the end of an attempt. A
+// caller that cancels, or leaves far less time than the service does, says
+// nothing about the backend server.
+func (x *exchange) observe(e request.Event, waited time.Duration) {
+	if e.Kind == request.CallerCancelled {
+		return
+	}
+	if e.Kind == request.DeadlinePassed && waited < x.spec.Limits.Deadline()/2 {
+		return
+	}
+	var response *http.Response
+	if x.answer != nil {
+		response = x.answer.response
+	}
+	x.g.health.observe(isFailure(e, response))
+}
+
+// attempt sends one attempt to the local backend server and waits for the head
+// of the answer.
+func (x *exchange) attempt(a request.Action) request.Event {
 	body := x.body.open()
 	response, err := x.g.backend.roundTrip(x.ctx, x, body) //nolint:bodyclose // dropAnswer closes it.
 	if err == nil {
--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -314,3 +314,22 @@
 	<-a.Idle()
 	is.Equal(f.send(a, "GET", "/fast", "", nil).status, 200)
 }
+
+// TestBrokenBackendServerIsReported: after failures in a row the agent reports
+// full load and sends its requests to a peer.
+func TestBrokenBackendServerIsReported(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, nil)
+	var load atomic.Int64
+	a := f.add(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusInternalServerError)
+	}), func(cfg *Config) { cfg.OnLoad = func(l uint8) { load.Store(int64(l)) } })
+	f.add(echo, nil)
+	for range 5 {
+		is.Equal(f.send(a, "GET", "/", "", nil).status, 500)
+	}
+	is.True(a.Outlier())
+	is.Equal(load.Load(), int64(fullLoad))
+	is.Equal(f.send(a, "GET", "/", "", nil).status, 200)
+	is.Equal(a.runs.Load(), int64(5))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,9 +4,10 @@
 // It is the driver around the pure packages admission, idempotency, request
 // and retry: it owns the HTTP exchanges, the locks and the timers; they decide.
 //
-// Lock order: no method holds two of the locks of this package at a time.
-// Gateway.mu guards the pure objects that all requests share; slots.mu guards
-// the admission control; flight.mu guards the count of requests under way.
+// Lock order: health.mu before slots.mu; the other locks are never held
+// together. Gateway.mu guards the pure objects that all requests share, slots.mu
+// the admission control, health.mu the health of the backend server, and
+// flight.mu the count of requests under way.
 package gateway
 
 import (
@@ -76,8 +77,8 @@
 	Rand func() float64
 	// Metrics receives the counters.
 	Metrics *metrics.Set
-	// OnLoad is called with each new load of the backend server, 0 to 255. It
-	// must return soon and must not call the Gateway.
+	// OnLoad is called with each new load of the backend server, 0 to 255; an
+	// outlier reports 255. It must return soon and must not call the Gateway.
 	OnLoad func(load uint8)
 	// Ramp is the cold-start ramp of the backend server.
 	Ramp admission.Ramp
@@ -93,6 +94,7 @@
 	cfg      Config
 	backend  backend
 	slots    *slots
+	health   *health
 	flight   flight
 	counters *counters
 	draining atomic.Bool
@@ -122,6 +124,7 @@
 	}
 	g := &Gateway{cfg: cfg, backend: newBackend(cfg), counters: newCounters(cfg.Metrics)}
 	g.slots = newSlots(cfg)
+	g.health = newHealth(cfg, g.slots.setOutlier)
 	g.flight.idle = make(chan struct{})
 	g.shared = shared{
 		budget:  retry.NewBudget(retryShare),
@@ -197,6 +200,10 @@
 // Idle returns a channel that is closed when, after Drain, no request is under way.
 func (g *Gateway) Idle() <-chan struct{} { return g.flight.idle }
 
+// Outlier reports whether the outcomes of its requests show that the backend
+// server is broken. Its requests go to peers as long as any has room.
+func (g *Gateway) Outlier() bool { return g.health.isOutlier() }
+
 // isDraining reports whether Drain was called or the service's ticket drains this agent.
 func (g *Gateway) isDraining(spec service.Spec) bool {
 	return g.draining.Load() || slices.Contains(spec.Draining, g.cfg.Addr)
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -18,8 +18,12 @@
 	waiting  map[admission.Ticket]chan admission.Decision
 	timer    *time.Timer
 	lastLoad int
+	outlier  bool
 }
 
+// fullLoad is the load of a backend server that should get no further work.
+const fullLoad = 255
+
 func newSlots(cfg Config) *slots {
 	return &slots{
 		cfg:      cfg,
@@ -57,6 +61,16 @@
 	s.settle(now)
 }
 
+// setOutlier makes an outlier report full load, so that others get its work
+// while any of them is better off.
+func (s *slots) setOutlier(outlier bool) {
+	now := s.cfg.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outlier = outlier
+	s.settle(now)
+}
+
 func (s *slots) tick() {
 	now, rnd := s.cfg.Now(), s.cfg.Rand()
 	s.mu.Lock()
@@ -85,6 +99,9 @@
 		s.timer = time.AfterFunc(max(next.Sub(now), 0), s.tick)
 	}
 	load := s.control.Load(now)
+	if s.outlier {
+		load = fullLoad
+	}
 	if int(load) != s.lastLoad {
 		s.lastLoad = int(load)
 		s.cfg.OnLoad(load)
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -141,8 +141,11 @@
 	Repeatable bool
 	// Local reports that the local backend server may run the request.
 	Local bool
-	// PeersFirst sends the request to a peer when there is one: the agent is draining.
+	// PeersFirst sends the request to a peer when there is one, because the agent
+	// is draining or its backend server is broken.
 	PeersFirst bool
+	// Draining keeps the request from the local backend server once a peer was reached.
+	Draining bool
 	// Peers is the number of peers that may be tried, in order.
 	Peers int
 	// PeerDecides reports that the only peer is the granting agent of the
@@ -336,7 +339,7 @@
 		return m.send(Action{Kind: Relay, Peer: m.peer - 1})
 	}
 	// A draining agent serves a request itself only when no peer can be reached.
-	local := m.route.Local && !m.localTried && (!m.route.PeersFirst || !m.peerRefused)
+	local := m.route.Local && !m.localTried && (!m.route.Draining || !m.peerRefused)
 	if local {
 		m.state = Received
 		return Action{Kind: Admit}
--- a/internal/request/world_test.go
+++ b/internal/request/world_test.go
@@ -283,7 +283,7 @@
 		}
 	}
 	route := Route{
-		Repeatable: x.ask.content.repeatable, Local: true, PeersFirst: x.agent.draining,
+		Repeatable: x.ask.content.repeatable, Local: true, PeersFirst: x.agent.draining, Draining: x.agent.draining,
 		Peers: len(x.peers), Deadline: w.now.Add(5 * time.Second),
 	}
 	if !route.Repeatable {
