--- a/internal/lab/deploy/keys.go
+++ b/internal/lab/deploy/keys.go
@@ -1,12 +1,17 @@
 package deploy
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"syscall"
 
 	"github.com/almondledge/almondledge/internal/errkind"
@@ -39,6 +44,48 @@
 	})
 }
 
+// OldPacketKeys names the running balancers and agents that do not use the
+// newest packet key as the current one.
+func (d *Deployment) OldPacketKeys(ctx context.Context) []string {
+	d.mu.Lock()
+	current := fmt.Sprintf("almondledge_packet_key_current{version=\"%d\"} 1\n", d.keyVersion)
+	d.mu.Unlock()
+	var old []string
+	check := func(p *Process, admin netip.AddrPort) {
+		if !p.Running() {
+			return
+		}
+		text, err := d.metricsText(ctx, admin)
+		if err != nil || !strings.Contains(text, current) {
+			old = append(old, p.Name)
+		}
+	}
+	for _, b := range d.Balancers() {
+		check(b.Process, b.admin)
+	}
+	for _, h := range d.Hosts {
+		check(h.Agent, h.admin)
+	}
+	return old
+}
+
+func (d *Deployment) metricsText(ctx context.Context, admin netip.AddrPort) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin.String()+"/metrics", nil)
+	if err != nil {
+		return "", err
+	}
+	req.Header.Set("Authorization", "Bearer "+d.fleet.AdminToken)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxControlBody))
+	return string(text), err
+}
+
 // reload changes the packet keys in all settings files and tells the processes.
 func (d *Deployment) reload(change func([]settings.PacketKey) []settings.PacketKey) error {
 	var processes []*Process
--- a/internal/lab/faults/processes.go
+++ b/internal/lab/faults/processes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"syscall"
 	"time"
@@ -39,6 +40,7 @@
 		{Name: "backend-freeze", Hold: freezeTime, begin: freezeBackend},
 		{Name: "backend-stop", Planned: true, Hold: time.Second, begin: stopBackend},
 		{Name: "host-kill", Hold: killHold, begin: killHost},
+		{Name: "data-centre-kill", Hold: killHold, begin: killDataCentre},
 		{Name: "backend-slow", Hold: killHold, begin: backendKnobs(backend.Knobs{SlowMillis: 200})},
 		{Name: "backend-shed", Hold: killHold, begin: backendKnobs(backend.Knobs{ShedShare: 0.5})},
 		{Name: "backend-false-load", Hold: killHold, begin: backendKnobs(falseLoad())},
@@ -177,6 +179,60 @@
 	return h.Backend.Kill()
 }
 
+// killDataCentre kills every balancer, agent and backend server of one data centre.
+func killDataCentre(ctx context.Context, s *scene) error {
+	h, err := s.host()
+	if err != nil {
+		return err
+	}
+	dataCentre := h.Agent.DataCentre
+	var balancers []*deploy.BalancerHost
+	var hosts []*deploy.Host
+	for _, b := range s.d.Balancers() {
+		if b.DataCentre == dataCentre && b.Running() && !s.taken[b.Process] {
+			s.take(b.Process)
+			balancers = append(balancers, b)
+		}
+	}
+	for _, other := range s.d.Hosts {
+		if other == h || (other.Agent.DataCentre == dataCentre && !s.taken[other.Agent]) {
+			s.taken[other.Agent] = true
+			hosts = append(hosts, other)
+		}
+	}
+	s.atEnd(func(ctx context.Context) error { return restartAll(ctx, s, balancers, hosts) })
+	for _, b := range balancers {
+		if err := b.Kill(); err != nil {
+			return err
+		}
+	}
+	for _, h := range hosts {
+		s.allow(h)
+		if err := errors.Join(h.Agent.Kill(), h.Backend.Kill()); err != nil {
+			return err
+		}
+	}
+	pause(ctx, fabricNotice)
+	return sprayToRunning(ctx, s)
+}
+
+func restartAll(ctx context.Context, s *scene, balancers []*deploy.BalancerHost, hosts []*deploy.Host) error {
+	for _, b := range balancers {
+		if err := s.d.Start(b.Process); err != nil {
+			return err
+		}
+	}
+	for _, h := range hosts {
+		if err := errors.Join(s.d.Start(h.Backend), s.d.Start(h.Agent)); err != nil {
+			return err
+		}
+	}
+	if err := sprayToRunning(ctx, s); err != nil {
+		return err
+	}
+	return s.d.WaitServing(ctx, hosts)
+}
+
 func freezeBackend(_ context.Context, s *scene) error {
 	h, err := s.host()
 	if err != nil {
--- a/internal/lab/faults/system.go
+++ b/internal/lab/faults/system.go
@@ -35,6 +35,7 @@
 		{Name: "store-slow", Hold: storeHold, begin: spoilStore(platform.Faults{Slow: time.Second})},
 		{Name: "store-silent-watches", Hold: storeHold, begin: spoilStore(platform.Faults{SilentWatches: true})},
 		{Name: "store-leases-lapse", Hold: killHold, begin: lapseLeases},
+		{Name: "store-leases-lapse-balancer-freeze", Hold: freezeTime, begin: both(freezeBalancer, lapseLeases)},
 		{Name: "store-down-balancer-kill", Hold: storeHold, begin: both(spoilStore(platform.Faults{Down: true}), killBalancer)},
 		{Name: "ticket-answer-lost", Planned: true, Hold: drainHold, begin: both(loseAnswers, drainByTicket(1))},
 	}
@@ -133,6 +134,12 @@
 		return err
 	}
 	pause(ctx, keySpread)
+	s.check(func(ctx context.Context) []string {
+		if old := s.d.OldPacketKeys(ctx); len(old) > 0 {
+			return []string{fmt.Sprintf("%v do not use the new packet key", old)}
+		}
+		return nil
+	})
 	return s.d.UsePacketKey()
 }
 
