--- a/internal/lab/latency/latency.go
+++ b/internal/lab/latency/latency.go
@@ -148,7 +148,7 @@
 		return flow, func() {
 			flow.Close()
 			cancel()
-			<-done
+			_ = <-done // the measurement is over
 		}, nil
 	}
 }
