--- a/internal/lab/latency/latency.go
+++ b/internal/lab/latency/latency.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/apex/log"
 
 	"github.com/almondledge/almondledge/internal/lab/caller"
 	"github.com/almondledge/almondledge/internal/lab/deploy"
@@ -148,7 +149,9 @@
 		return flow, func() {
 			flow.Close()
 			cancel()
-			_ = <-done // the measurement is over
+			if err := <-done; err != nil {
+				log.WithError(err).Warn("direct server failed")
+			}
 		}, nil
 	}
 }
