Roster wired: a process whose settings are outdated finds its first balancers

Cause: the roster stood beside the roles; an agent whose settings name only replaced balancers never joined. Ruled out: reading the roster again and again; it is read at start only. Change: balancers keep a place in the roster and add it to their first contacts; agents read it once, bounded to 2 s, and go on with the settings when the store is away.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -36,6 +36,7 @@
 	"github.com/almondledge/almondledge/internal/pki"
 	"github.com/almondledge/almondledge/internal/service"
 	"github.com/almondledge/almondledge/internal/settings"
+	"github.com/almondledge/almondledge/internal/store/etcd"
 	"github.com/almondledge/almondledge/internal/stream"
 	"github.com/almondledge/almondledge/internal/telemetry"
 )
@@ -55,6 +56,8 @@
 	Log log.Interface
 	// Network opens the sockets.
 	Network network.Network
+	// StoreTransport carries the one call to the platform's store. Nil uses HTTP.
+	StoreTransport http.RoundTripper
 }
 
 // Agent is one agent process.
@@ -69,6 +72,9 @@
 
 	identity *pki.Identity
 	dialer   *stream.Dialer
+	store    *etcd.Client
+	// contacts are the balancers for first contact.
+	contacts []netip.AddrPort
 	driver   *controlplane.Driver
 	gateway  *gateway.Gateway
 	endpoint *endpoint
@@ -116,6 +122,12 @@
 	}
 	a.process = telemetry.New(a.Ready)
 	a.metrics = a.process.Set()
+	a.store, err = etcd.New(etcd.Config{
+		Endpoints: config.Store.Endpoints, Transport: options.StoreTransport, Metrics: a.metrics,
+	})
+	if err != nil {
+		return nil, err
+	}
 	keys.Register(a.metrics)
 	identity.Register(a.metrics)
 	return a, nil
@@ -282,7 +294,7 @@
 	}
 	return controlplane.New(controlplane.Options{
 		Node: control.Config{
-			Self: self, Seeds: a.settings.Peers, BytesPerSecond: a.settings.ControlBytesPerSecond,
+			Self: self, Seeds: a.contacts, BytesPerSecond: a.settings.ControlBytesPerSecond,
 			Rand: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())),
 		},
 		Log:      a.log,
--- a/internal/agent/review.go
+++ b/internal/agent/review.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -9,10 +10,13 @@
 	"github.com/almondledge/almondledge/internal/controlplane"
 	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/member"
+	"github.com/almondledge/almondledge/internal/roster"
 	"github.com/almondledge/almondledge/internal/service"
 )
 
 const (
+	// rosterTimeout bounds the one read of the roster.
+	rosterTimeout = 2 * time.Second
 	// lookupPause bounds the pause between two lookups of the service.
 	lookupPause = 2 * time.Second
 	// peerGrace is how long a stopping agent waits for a peer before it sends GOAWAY.
@@ -34,10 +38,11 @@
 	case <-drain.Done():
 		return service.Spec{}, nil
 	}
+	a.contacts = a.firstContacts(ctx)
 	last, _ := a.registry.Last(time.Now())
 	a.log.WithField("service", last.Service).WithField("port", last.Port).Info("backend server announced")
 	lookUp := func() (service.Spec, error) {
-		spec, err := controlplane.LookUp(ctx, a.dialer.DialSync, a.settings.Peers, last.Service)
+		spec, err := controlplane.LookUp(ctx, a.dialer.DialSync, a.contacts, last.Service)
 		if err != nil {
 			a.log.WithField("kind", string(errkind.Of(err))).WithError(err).Warn("service not found yet")
 		}
@@ -52,6 +57,17 @@
 	return backoff.Retry(ctx, lookUp, backoff.WithBackOff(pause), backoff.WithMaxElapsedTime(0))
 }
 
+// firstContacts returns the balancers of the settings and of the roster.
+func (a *Agent) firstContacts(ctx context.Context) []netip.AddrPort {
+	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
+	defer cancel()
+	contacts, err := roster.Contacts(ctx, a.store, a.settings.DataCentre, a.settings.Peers)
+	if err != nil {
+		a.log.WithError(err).Warn("roster not read; the peers of the settings are used")
+	}
+	return contacts
+}
+
 // review keeps the announced state in step with the agent's condition.
 func (a *Agent) review(ctx context.Context) error {
 	ticker := time.NewTicker(lifecyclePeriod)
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -25,6 +25,7 @@
 	"github.com/almondledge/almondledge/internal/network"
 	"github.com/almondledge/almondledge/internal/packetkeys"
 	"github.com/almondledge/almondledge/internal/pki"
+	"github.com/almondledge/almondledge/internal/roster"
 	"github.com/almondledge/almondledge/internal/settings"
 	"github.com/almondledge/almondledge/internal/store"
 	"github.com/almondledge/almondledge/internal/store/etcd"
@@ -199,6 +200,10 @@
 	group.Go(func() error { return b.streams.Serve(listener) })
 	group.Go(func() error { return b.buildTables(groupCtx) })
 	group.Go(func() error { return b.serveAdmin(groupCtx) })
+	group.Go(func() error {
+		b.followRoster(groupCtx)
+		return nil
+	})
 	group.Go(func() error {
 		b.leaveWhenQuiet(groupCtx, drain)
 		cancel()
@@ -209,6 +214,18 @@
 	return group.Wait()
 }
 
+// followRoster adds the balancers of the roster to the first contacts, and keeps
+// this balancer in the roster while there is a place. Without the store the
+// settings suffice.
+func (b *Balancer) followRoster(ctx context.Context) {
+	contacts, err := roster.Contacts(ctx, b.store, b.settings.DataCentre, b.settings.Peers)
+	if err != nil {
+		b.log.WithError(err).Warn("roster not read; the peers of the settings are used")
+	}
+	b.driver.AddSeeds(contacts)
+	roster.Run(ctx, roster.Config{Store: b.store, DataCentre: b.settings.DataCentre, Self: b.settings.Address, Log: b.log})
+}
+
 // serveAdmin serves the administration API until ctx ends.
 func (b *Balancer) serveAdmin(ctx context.Context) error {
 	listener, err := b.network.ListenTCP(b.settings.Admin)
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/almondledge/almondledge/internal/catalog"
@@ -103,6 +104,15 @@
 	return n.take()
 }
 
+// AddSeeds adds balancers to contact first, such as those of the roster.
+func (n *Node) AddSeeds(seeds []netip.AddrPort) {
+	for _, seed := range seeds {
+		if seed != n.self.Addr && !slices.Contains(n.cfg.Seeds, seed) {
+			n.cfg.Seeds = append(slices.Clone(n.cfg.Seeds), seed)
+		}
+	}
+}
+
 // SetState announces a new state of this node. Going back to an earlier state
 // takes a higher incarnation.
 func (n *Node) SetState(now time.Time, s member.State) []Output {
--- a/internal/controlplane/driver.go
+++ b/internal/controlplane/driver.go
@@ -234,6 +234,13 @@
 	return d.node.Self()
 }
 
+// AddSeeds adds balancers to contact first, such as those of the roster.
+func (d *Driver) AddSeeds(seeds []netip.AddrPort) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.node.AddSeeds(seeds)
+}
+
 // SetState announces a new state of this node.
 func (d *Driver) SetState(s member.State) {
 	d.do(func(now time.Time) []control.Output { return d.node.SetState(now, s) })
--- a/internal/faultmatrix/fleet_test.go
+++ b/internal/faultmatrix/fleet_test.go
@@ -284,7 +284,9 @@
 		f.agents = append(f.agents, nil)
 		f.agentAt = append(f.agentAt, nil)
 	}
-	a, err := agent.New(f.settings.agents[i], agent.Options{Log: quiet(), Network: host})
+	a, err := agent.New(f.settings.agents[i], agent.Options{
+		Log: quiet(), Network: host, StoreTransport: platform.Transport{Platform: f.store},
+	})
 	f.must(err)
 	f.agents[i] = a
 	f.agentAt[i] = f.launch(host, a.Run)
