Control: a joining balancer learns who died

Cause: a balancer that joined after a death did not know of it and trusted the old incarnation of a process that woke up, until repair told it. Change: the first pull of a joining node keeps the dead as well. The test of the frozen agent has a newcomer now and failed before the change.

--- a/internal/control/fault_test.go
+++ b/internal/control/fault_test.go
@@ -46,11 +46,15 @@
 			return b.Node.Table().Get(frozen.Addr).State == member.Dead
 		})
 	})
+	newcomer := f.addBalancer(0, 9, 1)
+	f.Run(2 * time.Second)
 	old := frozen.Node.Self().Incarnation
 	stale := &control.Announce{Sequence: 9, Self: control.MemberRecord(frozen.Node.Self())}
 	f.Perform(f.balancers[0], f.balancers[0].Node.Handle(f.Now, frozen.Addr, stale))
 	is.True(!f.willing(f.balancers[0], frozen)) // the old incarnation is refused
 	is.Equal(f.balancers[0].Node.Counters().ContestedAnnouncements, uint64(1))
+	f.Perform(newcomer, newcomer.Node.Handle(f.Now, frozen.Addr, stale))
+	is.True(!f.willing(newcomer, frozen)) // also by a balancer that joined after the death
 
 	f.Thaw(frozen)
 	f.mustHappen(t, "trusted again", 3*time.Second, func() bool { return f.allWilling(frozen) })
--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -145,6 +145,9 @@
 			r.b.n.counters.BadMessages++
 			continue
 		}
+		if !r.b.joined {
+			r.b.table.Remember(now, m)
+		}
 		r.b.learnQuietly(now, m)
 	}
 	r.b.joined = true
--- a/internal/presence/table.go
+++ b/internal/presence/table.go
@@ -129,6 +129,17 @@
 	return Changed
 }
 
+// Remember takes the record of a dead member that this node never knew alive, so
+// that a process that wakes up is not trusted on that incarnation. Only a joining
+// node does so; else dead members would be passed around without end.
+func (t *Table) Remember(now time.Time, m member.Member) {
+	if m.State != member.Dead || t.records[m.Addr] != nil {
+		return
+	}
+	t.insert(&Record{Member: m, Since: now, hash: HashAddr(m.Addr)})
+	t.dead = append(t.dead, deadEntry{m.Addr, m.Incarnation, now})
+}
+
 // failureTime returns when a member that is now in the state of m failed, or
 // zero when it did not.
 func failureTime(now time.Time, m member.Member, old *Record) time.Time {
