--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -69,7 +69,8 @@
 	once   bool
 
 	mu      sync.Mutex
-	started bool
+	reading bool
+	gone    bool
 	closed  bool
 }
 
@@ -88,9 +89,18 @@
 		a.mu.Unlock()
 		return 0, errBodyClosed
 	}
-	a.started = true
+	a.reading = true
 	a.mu.Unlock()
-	return a.source.Read(p)
+	n, err := a.source.Read(p)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.reading = false
+	// An empty body over HTTP/3 has no length and ends at the first read: then
+	// nothing of it is gone.
+	if n > 0 || err != nil && !errors.Is(err, io.EOF) {
+		a.gone = true
+	}
+	return n, err
 }
 
 // Close implements io.Closer.
@@ -99,10 +109,10 @@
 	return nil
 }
 
-// shut ends reading and reports whether anything was read.
+// shut ends reading and reports whether anything was read or is about to be.
 func (a *attemptBody) shut() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.closed = true
-	return a.started
+	return a.gone || a.reading
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -119,6 +119,9 @@
 // perform does what the machine asks for and returns what came of it, or false
 // when the exchange is over.
 func (x *exchange) perform(a request.Action) (request.Event, bool) {
+	if a.Retry {
+		x.g.counters.retries.Inc()
+	}
 	if a.Delay > 0 && !x.sleep(a.Delay) {
 		return x.ended(), true
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -190,7 +190,12 @@
 	if g.draining.Swap(true) {
 		return
 	}
-	g.cfg.Log.WithField("in_flight", g.flight.count()).WithField("peers", len(g.peers())).Info("gateway draining")
+	entry := g.cfg.Log.WithField("in_flight", g.flight.count()).WithField("peers", len(g.peers()))
+	if len(g.peers()) == 0 {
+		entry.Warn("gateway draining without any peer: new requests are still served here")
+	} else {
+		entry.Info("gateway draining: new requests go to peers")
+	}
 	g.flight.drain()
 }
 
