Requests: a repeatable request that the backend server sheds goes to a peer

Cause: backend servers shed load with 503, and a repeatable request can be answered elsewhere. Change: under the retry budget it is relayed to a peer; without peer, budget or body the answer is passed on. A request whose deadline passed while its agent was paused is no longer dispatched, and an exchange without a final action ends as cut instead of as an empty answer.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -109,6 +109,13 @@
 	return nil
 }
 
+// isSpent reports whether a part of the caller's stream is gone.
+func (a *attemptBody) isSpent() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.once && (a.gone || a.reading)
+}
+
 // shut ends reading and reports whether anything was read or is about to be.
 func (a *attemptBody) shut() bool {
 	a.mu.Lock()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -110,7 +110,7 @@
 func (x *exchange) handle(e request.Event) request.Action {
 	now := x.g.cfg.Now()
 	e.Random = x.g.cfg.Rand()
-	e.BodySpent = x.body.spent
+	e.BodySpent = x.body.spent || x.answer != nil && x.answer.body.isSpent()
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
 	return x.machine.Handle(now, e)
@@ -121,6 +121,7 @@
 func (x *exchange) perform(a request.Action) (request.Event, bool) {
 	if a.Retry {
 		x.g.counters.retries.Inc()
+		x.endAttempt()
 	}
 	if a.Delay > 0 && !x.sleep(a.Delay) {
 		return x.ended(), true
@@ -138,12 +139,23 @@
 		x.refuse(a)
 	case request.AnswerUnknown:
 		x.answerUnknown(a)
-	case request.Abort:
+	case request.Finish:
+	default:
 		x.abort()
 	}
 	return request.Event{}, false
 }
 
+// endAttempt lets go of an answer that is not passed on and starts the clock
+// again, so that another attempt can follow.
+func (x *exchange) endAttempt() {
+	x.releaseSlot()
+	if x.answer != nil {
+		x.dropAnswer()
+		x.timer.Reset(x.remaining())
+	}
+}
+
 // admit asks for a local slot and waits in the queue if it must.
 func (x *exchange) admit() request.Event {
 	ticket, decision, wait := x.g.slots.offer(x.caller, x.deadline)
@@ -175,7 +187,7 @@
 
 // dispatch sends the request to the local backend server.
 func (x *exchange) dispatch(a request.Action) request.Event {
-	if x.ctx.Err() != nil {
+	if x.ctx.Err() != nil || x.remaining() <= 0 {
 		// Nothing was sent, so the outcome is certain.
 		x.releaseSlot()
 		return request.Event{Kind: request.BackendUnreached, Attempt: a.Attempt}
@@ -212,6 +224,7 @@
 		x.answer = &answer{response: response, body: body}
 		event := x.answerStarted()
 		event.Attempt = a.Attempt
+		event.Shed = response.StatusCode == http.StatusServiceUnavailable
 		return event
 	}
 	x.body.end(body)
--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -92,6 +92,21 @@
 	is.Equal(b.runs.Load(), int64(1))
 }
 
+// TestShedRequestGoesElsewhere: a repeatable request that the backend server
+// sheds is answered by a peer; the answer to another is passed on.
+func TestShedRequestGoesElsewhere(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, nil)
+	a := f.add(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}), nil)
+	b := f.add(echo, nil)
+	is.Equal(f.send(a, "GET", "/sheet", "", nil).body, "GET /sheet")
+	is.Equal(f.send(a, "POST", "/orders", a.freshKey(f.spec.ID), nil).status, 503)
+	is.Equal(a.runs.Load(), int64(2))
+	is.Equal(b.runs.Load(), int64(1))
+}
+
 // TestLostRelayAnswers: a granter or an executor is asked again after a lost
 // answer and runs the request once; when all answers are lost the outcome is unknown.
 func TestLostRelayAnswers(t *testing.T) {
--- a/internal/request/machine.go
+++ b/internal/request/machine.go
@@ -87,6 +87,9 @@
 		m.mayHaveRun = true
 		return m.again(now, e)
 	case AnswerStarted:
+		if next, ok := m.afterShed(now, e); ok {
+			return next
+		}
 		m.passing = true
 		return Action{Kind: PassAnswer, Attempt: m.attempt}
 	default:
@@ -94,6 +97,18 @@
 	}
 }
 
+// afterShed tries a repeatable request at a peer when the backend server shed
+// it. Without a peer or budget the answer is passed on as it is.
+func (m *Machine) afterShed(now time.Time, e Event) (Action, bool) {
+	if !e.Shed || !m.route.Repeatable || e.BodySpent || m.peer == m.route.Peers || !m.budget.Take(now) {
+		return Action{}, false
+	}
+	m.mayHaveRun = true
+	next := m.elsewhere()
+	next.Retry = true
+	return next, true
+}
+
 // passingEvent handles an event after the head of the answer was passed on:
 // from here on there is no other attempt, so no body is made of two answers.
 func (m *Machine) passingEvent(e Event) Action {
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -66,6 +66,8 @@
 	RetryAfter time.Duration
 	// Overloaded marks a refusal for lack of room, in contrast to draining.
 	Overloaded bool
+	// Shed marks an answer by which the backend server sheds load.
+	Shed bool
 	// BodySpent reports that a part of the request body is gone, so that no
 	// further attempt can send it.
 	BodySpent bool
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -84,6 +84,16 @@
 	is.Equal(failed(Event{}, now, retry.NewBudget(0)), Relay)
 	is.Equal(failed(Event{BodySpent: true}, now, retry.NewBudget(0)), AnswerUnknown)
 	is.Equal(failed(Event{Random: 0.9}, now.Add(990*time.Millisecond), retry.NewBudget(0)), AnswerUnknown)
+	shed := Event{Kind: AnswerStarted, Attempt: 1, Shed: true}
+	for route, want := range map[Route]ActionKind{
+		{Repeatable: true, Local: true, Peers: 1}: Relay,
+		{Repeatable: true, Local: true}:           PassAnswer,
+		{Local: true, Peers: 1}:                   PassAnswer,
+	} {
+		m, _ := New(route, retry.NewBudget(0))
+		m.Handle(now, Event{Kind: Admitted})
+		is.Equal(m.Handle(now, shed).Kind, want)
+	}
 	spent := retry.NewBudget(0)
 	for spent.Take(now) {
 		continue
