lab faults: first errors of each fault in the report

Cause: the samples of a whole run were used up by the first kill, so that later faults could not be explained. Change: each result holds the first errors that callers saw, with the agent.

--- a/internal/lab/faults/report.go
+++ b/internal/lab/faults/report.go
@@ -53,6 +53,8 @@
 	RequestsCutAllowed int `json:"requestsCutAllowed"`
 	// SlowestMs is the longest latency of an answered request in milliseconds.
 	SlowestMs float64 `json:"slowestMs"`
+	// Errors are the first errors that callers saw.
+	Errors []string `json:"errors,omitempty"`
 	// TicketLagMs is how long after the fault, with its time to settle, the last
 	// accepted ticket was in force everywhere, in milliseconds.
 	TicketLagMs float64 `json:"ticketLagMs"`
--- a/internal/lab/faults/run.go
+++ b/internal/lab/faults/run.go
@@ -198,6 +198,7 @@
 		TimedOut:  counts.Verdicts[caller.TimedOut],
 		Failed:    counts.Verdicts[caller.Failed],
 		Moved:     counts.Moved,
+		Errors:    counts.Errors,
 		SlowestMs: float64(counts.Slowest) / float64(time.Millisecond),
 	}
 	result.FlowsBroken, result.FlowsBrokenAllowed = s.split(counts.BrokenBy)
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -225,10 +225,13 @@
 	r.record(ClassPoll, time.Now().Add(-time.Minute), caller.Answer{Verdict: caller.Answered})
 	first := s.Snapshot()
 	is.True(first.Slowest >= time.Minute)
+	is.Equal(len(first.Errors), 1)
 	r.retried(ClassBooking, cut)
 	r.end(caller.End{Broken: true, Agent: "b"})
 	r.end(caller.End{})
 	since := s.Snapshot().Since(first)
+	is.Equal(len(since.Errors), 1)
+	since.Errors = nil // the text holds a time
 	is.Equal(since, Snapshot{
 		Verdicts: map[caller.Verdict]int{caller.Cut: 1},
 		BrokenBy: map[string]int{"b": 1},
--- a/internal/lab/load/recorder.go
+++ b/internal/lab/load/recorder.go
@@ -21,6 +21,9 @@
 // maxSamples bounds the samples of breaks and errors that a report shows.
 const maxSamples = 50
 
+// maxRecent bounds the errors that a snapshot shows for each service.
+const maxRecent = 5
+
 // Class is a kind of request.
 type Class string
 
@@ -48,6 +51,7 @@
 	brokenBy map[string]int
 	cutBy    map[string]int
 	slowest  time.Duration // since the last snapshot
+	recent   []string      // errors since the last snapshot
 	inUse    int
 	graceful int
 	breaks   []Break
@@ -133,10 +137,16 @@
 }
 
 func (r *recorder) sample(c Class, now time.Time, a caller.Answer) {
-	if len(r.errors) < maxSamples && a.Err != nil {
-		text := fmt.Sprintf("%.1fs %s %s: %v", now.Sub(r.start).Seconds(), c, a.Verdict, a.Err)
+	if a.Err == nil {
+		return
+	}
+	text := fmt.Sprintf("%.1fs %s %s by %q: %v", now.Sub(r.start).Seconds(), c, a.Verdict, a.Agent, a.Err)
+	if len(r.errors) < maxSamples {
 		r.errors = append(r.errors, text)
 	}
+	if len(r.recent) < maxRecent {
+		r.recent = append(r.recent, text)
+	}
 }
 
 func (r *recorder) countServer(now time.Time, server string) {
--- a/internal/lab/load/snapshot.go
+++ b/internal/lab/load/snapshot.go
@@ -19,6 +19,8 @@
 	Moved int
 	// Slowest is the longest latency since the last snapshot, feeds left out.
 	Slowest time.Duration
+	// Errors are the first errors since the last snapshot.
+	Errors []string
 }
 
 // Snapshot returns the counters and begins a new search for the slowest answer.
@@ -45,6 +47,8 @@
 	s.Moved += r.graceful
 	s.Slowest = max(s.Slowest, r.slowest)
 	r.slowest = 0
+	s.Errors = append(s.Errors, r.recent...)
+	r.recent = nil
 }
 
 // Since returns what was counted after before was taken.
@@ -55,6 +59,7 @@
 		CutBy:    subtract(s.CutBy, before.CutBy),
 		Moved:    s.Moved - before.Moved,
 		Slowest:  s.Slowest,
+		Errors:   s.Errors,
 	}
 }
 
