Presence changes replace the agents of one service, not the routing table

Also seen: weights that grow while a backend server warms up reached the table only with the next change. Ruled out: building less often (a drain must be known within 3 s, and it adds up with other delays).

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -26,6 +26,7 @@
 	"github.com/almondledge/almondledge/internal/packetkeys"
 	"github.com/almondledge/almondledge/internal/pki"
 	"github.com/almondledge/almondledge/internal/roster"
+	"github.com/almondledge/almondledge/internal/service"
 	"github.com/almondledge/almondledge/internal/settings"
 	"github.com/almondledge/almondledge/internal/store"
 	"github.com/almondledge/almondledge/internal/store/etcd"
@@ -75,8 +76,9 @@
 	fabric    udpbatch.Conn
 	link      udpbatch.Conn
 	metrics   *Metrics
-	// changed wakes the goroutine that builds routing tables.
+	// changed wakes the goroutine that builds routing tables, changes says what to do.
 	changed  chan struct{}
+	changes  changes
 	stopping atomic.Bool
 }
 
@@ -149,6 +151,10 @@
 		Send:     b.sendControl,
 		Dial:     b.dialer.DialSync,
 		OnNotice: b.onNotice,
+		OnCandidates: func(ids []service.ID) {
+			b.changes.addServices(ids)
+			b.wakeBuilder()
+		},
 	})
 }
 
@@ -287,36 +293,14 @@
 	b.log.WithField("packets", last).Info("balancer left")
 }
 
-// buildTables builds a routing table whenever configuration or presence changed.
-func (b *Balancer) buildTables(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-b.changed:
-		}
-		table, limits := buildTable(b.driver.Catalog(), b.driver.Candidates, b.forwarder.Table())
-		b.forwarder.SetTable(table, limits)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(tablePause):
-		}
-	}
-}
-
-// onNotice lets a new routing table be built.
+// onNotice lets a new routing table be built when the configuration has changed.
 func (b *Balancer) onNotice(notice control.Notice) {
-	if notice.Kind == control.NoticeCatalog {
-		b.log.WithField("revision", b.driver.Catalog().Revision()).Info("configuration in force")
-	}
-	if notice.Kind != control.NoticeCatalog && notice.Kind != control.NoticePresence {
+	if notice.Kind != control.NoticeCatalog {
 		return
 	}
-	select {
-	case b.changed <- struct{}{}:
-	default:
-	}
+	b.log.WithField("revision", b.driver.Catalog().Revision()).Info("configuration in force")
+	b.changes.addCatalog()
+	b.wakeBuilder()
 }
 
 func (b *Balancer) sendControl(to netip.AddrPort, payload []byte) error {
--- a/internal/controlplane/driver.go
+++ b/internal/controlplane/driver.go
@@ -31,6 +31,9 @@
 	Dial func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
 	// Log gets one line for each event.
 	Log log.Interface
+	// OnCandidates, if set, is called with the services whose candidates have
+	// changed, without locks held.
+	OnCandidates func([]service.ID)
 	// OnNotice, if set, is called for each notice, without locks held.
 	OnNotice func(control.Notice)
 }
@@ -127,8 +130,11 @@
 	d.mu.Lock()
 	now := time.Now()
 	outputs := decide(now)
-	d.publish(now)
+	changed := d.publish(now)
 	d.mu.Unlock()
+	if len(changed) > 0 && d.opts.OnCandidates != nil {
+		d.opts.OnCandidates(changed)
+	}
 	for _, o := range outputs {
 		d.perform(o)
 	}
@@ -137,23 +143,26 @@
 // timedPeriod is how often weights that change with time are published.
 const timedPeriod = time.Second
 
-// publish makes the node's state visible to readers without the lock.
-func (d *Driver) publish(now time.Time) {
+// publish makes the node's state visible to readers without the lock, and
+// returns the services whose candidates have changed.
+func (d *Driver) publish(now time.Time) []service.ID {
 	d.catalog.Store(d.node.Catalog())
 	d.ready.Store(d.node.Ready())
 	table := d.node.Table()
 	if table == nil {
 		targets := d.node.ReplyTargets(now)
 		d.replyTargets.Store(&targets)
-		return
+		return nil
 	}
 	timed := now.Sub(d.lastTimed) >= timedPeriod
 	if timed {
 		d.lastTimed = now
 	}
-	for _, id := range table.TakeChanged(timed) {
+	changed := table.TakeChanged(timed)
+	for _, id := range changed {
 		d.candidates.Store(id, table.Candidates(now, id))
 	}
+	return changed
 }
 
 func (d *Driver) perform(o control.Output) {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/netip"
+	"sync/atomic"
 
 	"github.com/almondledge/almondledge/internal/service"
 )
@@ -29,21 +30,39 @@
 	Agents []Agent
 }
 
-// Table is an immutable view of the services and their agents.
+// Table holds the services and their agents. The set of services is fixed; the
+// agents of one service are replaced as a whole while packets are routed.
 type Table struct {
-	byAddr map[netip.AddrPort]*Service
-	byID   map[service.ID]*Service
+	byAddr map[netip.AddrPort]*slot
+	byID   map[service.ID]*slot
+}
+
+// slot holds the state of one service; a Service is never changed.
+type slot struct{ atomic.Pointer[Service] }
+
+func newSlot(s *Service) *slot {
+	created := &slot{}
+	created.Store(s)
+	return created
+}
+
+func (s *slot) service() *Service {
+	if s == nil {
+		return nil
+	}
+	return s.Load()
 }
 
 // NewTable returns a table of services.
 func NewTable(services []Service) *Table {
 	table := &Table{
-		byAddr: make(map[netip.AddrPort]*Service, len(services)),
-		byID:   make(map[service.ID]*Service, len(services)),
+		byAddr: make(map[netip.AddrPort]*slot, len(services)),
+		byID:   make(map[service.ID]*slot, len(services)),
 	}
 	for i := range services {
-		table.byAddr[services[i].Addr] = &services[i]
-		table.byID[services[i].ID] = &services[i]
+		created := newSlot(&services[i])
+		table.byAddr[services[i].Addr] = created
+		table.byID[services[i].ID] = created
 	}
 	return table
 }
@@ -53,24 +72,36 @@
 // the address of a removed one comes first. It must be called before t is shared.
 func (t *Table) WithRemoved(previous *Table) *Table {
 	for id, known := range previous.byID {
-		if t.byID[id] != nil || t.byAddr[known.Addr] != nil {
+		addr := known.Load().Addr
+		if t.byID[id] != nil || t.byAddr[addr] != nil {
 			continue
 		}
-		removed := &Service{ID: id, Addr: known.Addr, Removed: true}
+		removed := newSlot(&Service{ID: id, Addr: addr, Removed: true})
 		t.byID[id] = removed
-		t.byAddr[known.Addr] = removed
+		t.byAddr[addr] = removed
 	}
 	return t
 }
 
+// SetAgents replaces the agents of a service. One goroutine at a time may call it.
+func (t *Table) SetAgents(id service.ID, agents []Agent) {
+	known := t.byID[id]
+	if known == nil || known.Load().Removed {
+		return
+	}
+	next := *known.Load()
+	next.Agents = agents
+	known.Store(&next)
+}
+
 // ByAddr returns the service at addr, or nil.
 func (t *Table) ByAddr(addr netip.AddrPort) *Service {
-	return t.byAddr[addr]
+	return t.byAddr[addr].service()
 }
 
 // ByID returns the service with the given ID, or nil.
 func (t *Table) ByID(id service.ID) *Service {
-	return t.byID[id]
+	return t.byID[id].service()
 }
 
 // Len returns the number of services.
