--- a/internal/envelope/envelope_test.go
+++ b/internal/envelope/envelope_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"net/netip"
+	"runtime"
 	"testing"
 
 	"github.com/matryer/is"
@@ -146,3 +147,35 @@
 		datagram = sealer.Seal(datagram, &envelope)
 	}
 }
+
+// BenchmarkSenders reports what an opener holds for each sender that it has heard.
+func BenchmarkSenders(b *testing.B) {
+	const senders = 38_000
+	for b.Loop() {
+		opener, err := NewOpener([]Key{testKey(0)})
+		if err != nil {
+			b.Fatal(err)
+		}
+		before := heapBytes()
+		envelope := sample()
+		var buffer CandidateBuffer
+		for sender := range uint64(senders) {
+			sealer, err := NewSealer(testKey(0), sender)
+			if err != nil {
+				b.Fatal(err)
+			}
+			if _, err := opener.Open(sealer.Seal(nil, &envelope), &buffer); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(heapBytes()-before)/senders, "B/sender")
+		runtime.KeepAlive(opener)
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
