--- a/internal/control/agent.go
+++ b/internal/control/agent.go
@@ -15,8 +15,8 @@
 	maxPeers          = 16
 	// peerLifetime is how long a sampled peer stays usable.
 	peerLifetime = 10 * time.Second
-	// shunTime is how long an agent avoids a balancer that did not answer.
-	shunTime = 5 * time.Second
+	// avoidTime is how long an agent avoids a balancer that did not answer.
+	avoidTime = 5 * time.Second
 	// answerTime is how long an answer may take before the announcement is repeated.
 	answerTime = 200 * time.Millisecond
 	// repeatsPerPause is the number of repeats before their pause doubles.
@@ -32,8 +32,8 @@
 	targets []*target
 	// known lists other balancers, the latest named last.
 	known []netip.AddrPort
-	// shunned maps balancers that did not answer to the end of their avoidance.
-	shunned map[netip.AddrPort]time.Time
+	// avoided maps balancers that did not answer to the end of their avoidance.
+	avoided map[netip.AddrPort]time.Time
 	// lastSet is the last reply set that was not empty.
 	lastSet  []netip.AddrPort
 	peers    []sampledPeer
@@ -46,7 +46,7 @@
 }
 
 func newAgent(now time.Time, n *Node) *agent {
-	a := &agent{n: n, shunned: map[netip.AddrPort]time.Time{}}
+	a := &agent{n: n, avoided: map[netip.AddrPort]time.Time{}}
 	a.nextSend = now.Add(n.jitter(n.cfg.Timing.AnnouncePeriod))
 	return a
 }
@@ -79,8 +79,8 @@
 	return list
 }
 
-// thaw starts all waits anew after the process was frozen.
-func (a *agent) thaw(now time.Time) {
+// resume starts all waits anew after the process was frozen.
+func (a *agent) resume(now time.Time) {
 	for _, t := range a.targets {
 		t.added = now
 		t.lastAck = time.Time{}
--- a/internal/control/agent_targets.go
+++ b/internal/control/agent_targets.go
@@ -36,12 +36,12 @@
 		if now.Sub(t.heard()) < timeout {
 			return false
 		}
-		a.shunned[t.addr] = now.Add(shunTime)
+		a.avoided[t.addr] = now.Add(avoidTime)
 		return true
 	})
-	for addr, until := range a.shunned {
+	for addr, until := range a.avoided {
 		if !now.Before(until) {
-			delete(a.shunned, addr)
+			delete(a.avoided, addr)
 		}
 	}
 }
@@ -50,7 +50,7 @@
 // then by the seeds.
 func (a *agent) fillTargets(now time.Time) {
 	if len(a.targets) == 0 {
-		clear(a.shunned)
+		clear(a.avoided)
 	}
 	for i := len(a.known) - 1; i >= 0 && len(a.targets) < observers; i-- {
 		a.addTarget(now, a.known[i])
@@ -67,7 +67,7 @@
 }
 
 func (a *agent) addTarget(now time.Time, addr netip.AddrPort) {
-	if _, avoid := a.shunned[addr]; avoid || a.target(addr) != nil {
+	if _, avoid := a.avoided[addr]; avoid || a.target(addr) != nil {
 		return
 	}
 	a.targets = append(a.targets, &target{addr: addr, added: now})
@@ -101,7 +101,7 @@
 }
 
 func (a *agent) replaceTarget(now time.Time, addr netip.AddrPort, owners []netip.AddrPort) {
-	if _, avoid := a.shunned[addr]; avoid {
+	if _, avoid := a.avoided[addr]; avoid {
 		return
 	}
 	for i, t := range a.targets {
--- a/internal/control/detector.go
+++ b/internal/control/detector.go
@@ -11,9 +11,9 @@
 
 // Rules of failure detection.
 const (
-	// doubtTime is the silence of everybody after which a node doubts itself
+	// ownLinkTimeout is the silence of everybody after which a node suspects its own link
 	// rather than the others.
-	doubtTime = time.Second
+	ownLinkTimeout = time.Second
 	// relayLifetime is how long the answer to a relayed probe is waited for.
 	relayLifetime = time.Second
 )
@@ -138,12 +138,12 @@
 	}
 }
 
-// doubtsItself reports whether this node hears nobody at all though it expects
+// ownLinkSuspect reports whether this node hears nobody at all though it expects
 // to hear several: then its own link is the likelier fault. An answer from
-// another data centre or a seed ends the doubt.
-func (d *detector) doubtsItself(now time.Time) bool {
+// another data centre or a seed ends that.
+func (d *detector) ownLinkSuspect(now time.Time) bool {
 	expected := len(d.order) + len(d.b.table.Balancers(d.b.n.self.DataCentre)) - 1
-	return expected > 1 && now.Sub(d.lastInbound) >= doubtTime
+	return expected > 1 && now.Sub(d.lastInbound) >= ownLinkTimeout
 }
 
 // checkSuspicions declares members dead that have not answered a suspicion.
@@ -168,8 +168,8 @@
 	}
 }
 
-// thaw forgives all silence, because it was this process that did not run.
-func (d *detector) thaw(now time.Time) {
+// resume forgives all silence, because it was this process that did not run.
+func (d *detector) resume(now time.Time) {
 	d.lastInbound = now
 	d.probes = nil
 	for _, o := range d.order {
--- a/internal/control/fault_test.go
+++ b/internal/control/fault_test.go
@@ -56,7 +56,7 @@
 	f.Perform(newcomer, newcomer.Node.Handle(f.Now, frozen.Addr, stale))
 	is.True(!f.willing(newcomer, frozen)) // also by a balancer that joined after the death
 
-	f.Thaw(frozen)
+	f.Resume(frozen)
 	f.mustHappen(t, "trusted again", 3*time.Second, func() bool { return f.allWilling(frozen) })
 	is.True(frozen.Node.Self().Incarnation > old)
 	for _, b := range f.balancers {
@@ -69,7 +69,7 @@
 	f := newFleet(22, 1, 3, 3)
 	f.agents[0].Frozen = true
 	f.Run(1700 * time.Millisecond) // too short to be declared dead
-	f.Thaw(f.agents[0])
+	f.Resume(f.agents[0])
 	f.Run(time.Second)
 	is.Equal(f.agents[0].Node.Counters().Freezes, uint64(1))
 	is.True(f.agents[0].Node.Self().Incarnation > 1)
@@ -106,7 +106,7 @@
 	f.LoseWhileFrozen = true
 	f.balancers[2].Frozen = true
 	f.Run(20 * time.Second)
-	f.Thaw(f.balancers[2])
+	f.Resume(f.balancers[2])
 	for range 200 {
 		f.Run(control.TickPeriod / 20)
 		is.True(f.allWilling(f.agents...)) // those of the other data centre too
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -76,10 +76,10 @@
 	b.n.send(now, ClassProbe, to, ping)
 }
 
-// thaw restarts all waits after the process was frozen.
-func (b *balancer) thaw(now time.Time) {
-	b.detector.thaw(now)
-	b.reach.thaw(now)
+// resume restarts all waits after the process was frozen.
+func (b *balancer) resume(now time.Time) {
+	b.detector.resume(now)
+	b.reach.resume(now)
 	b.n.pull.until = time.Time{}
 	b.repair.pulling = time.Time{}
 }
--- a/internal/control/memnet/memnet.go
+++ b/internal/control/memnet/memnet.go
@@ -125,8 +125,8 @@
 	return n.Now.Sub(begin), true
 }
 
-// Thaw lets a frozen host run again; it handles what waited first.
-func (n *Net) Thaw(h *Host) {
+// Resume lets a frozen host run again; it handles what waited first.
+func (n *Net) Resume(h *Host) {
 	h.Frozen = false
 	waiting := h.waiting
 	h.waiting = nil
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -69,7 +69,7 @@
 // Tick lets time pass; call it every TickPeriod.
 func (n *Node) Tick(now time.Time) []Output {
 	if gap := now.Sub(n.lastTick); gap > n.cfg.Timing.FreezeLimit {
-		n.thaw(now, gap)
+		n.resume(now, gap)
 	}
 	n.lastTick = now
 	if n.agent != nil {
@@ -80,17 +80,17 @@
 	return n.take()
 }
 
-// thaw handles a process that did not run for a while: what it said before no
+// resume handles a process that did not run for a while: what it said before no
 // longer counts, and silence of others during the gap proves nothing.
-func (n *Node) thaw(now time.Time, gap time.Duration) {
+func (n *Node) resume(now time.Time, gap time.Duration) {
 	n.counters.Freezes++
 	n.notify(Notice{Kind: NoticeFrozen, Gap: gap})
 	n.raiseIncarnation(now, n.self.Incarnation)
 	if n.agent != nil {
-		n.agent.thaw(now)
+		n.agent.resume(now)
 		return
 	}
-	n.balancer.thaw(now)
+	n.balancer.resume(now)
 }
 
 // Handle takes a message that arrived in an authenticated envelope.
--- a/internal/control/probe.go
+++ b/internal/control/probe.go
@@ -114,7 +114,7 @@
 	if r == nil {
 		return
 	}
-	if d.doubtsItself(now) {
+	if d.ownLinkSuspect(now) {
 		d.b.contactFar(now)
 		return
 	}
--- a/internal/control/reach.go
+++ b/internal/control/reach.go
@@ -89,8 +89,8 @@
 	r.b.n.notify(Notice{Kind: NoticePresence})
 }
 
-// thaw forgives the silence during a freeze of this process.
-func (r *reach) thaw(now time.Time) {
+// resume forgives the silence during a freeze of this process.
+func (r *reach) resume(now time.Time) {
 	for _, c := range r.centres {
 		c.lastHeard = now
 	}
