Gateway: a late answer of the granting agent is dropped

Cause: an answer that came after the deadline stayed at hand, and was then passed on as the granting agent's refusal: the caller got a head of 201 and a body that could end early without a sign. Ruled out: the local path, which drops it. Change: only a refusal or an unknown outcome of the granting agent is passed on as it is, and one that breaks off cuts the caller's stream. TestLateAnswerIsDropped failed first (201, wanted 504) and passes now.

--- a/internal/gateway/clock_test.go
+++ b/internal/gateway/clock_test.go
@@ -159,3 +159,26 @@
 		is.Equal(told["127.0.0.1:2"], 990)
 	})
 }
+
+// TestLateAnswerIsDropped: an answer of the granting agent, or of the backend
+// server, that comes after the deadline is not passed on.
+func TestLateAnswerIsDropped(t *testing.T) {
+	late := func(r *http.Request) (*http.Response, error) {
+		time.Sleep(11 * time.Second)
+		h := http.Header{OutcomeField: {string(OutcomeRun)}}
+		return &http.Response{StatusCode: http.StatusCreated, Header: h, Body: io.NopCloser(strings.NewReader("late")), Request: r}, nil
+	}
+	peer := member.Member{Addr: netip.MustParseAddrPort("127.0.1.2:9000"), Kind: member.Agent, State: member.Serving, Service: 7}
+	for _, granter := range []netip.AddrPort{peer.Addr, netip.MustParseAddrPort("127.0.1.1:9000")} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			g := clockGateway(t, late, peer)
+			key := idempotency.NewIssuer(granter, 1, idempotency.NoncePrefix{1}).Issue(time.Now(), g.cfg.Keys(), 7)
+			w, done := start(g, t.Context(), key)
+			<-done
+			is.Equal(w.Code, http.StatusGatewayTimeout)
+			is.Equal(outcomeOf(w), OutcomeUnknown)
+			is.True(!strings.Contains(w.Body.String(), "late"))
+		})
+	}
+}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -96,6 +96,8 @@
 		return false
 	}
 	x.writeHead()
-	x.copyBody()
+	if x.copyBody().Kind != request.AnswerEnded {
+		x.abort()
+	}
 	return true
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -117,7 +117,7 @@
 	x.answer = &answer{response: response, body: body}
 	x.learnLife(peer, response)
 	event = x.readOutcome(a, response)
-	if event.Kind == request.AnswerStarted || x.forward && event.Kind != request.PeerLost {
+	if event.Kind == request.AnswerStarted || x.isGranterProblem(event) {
 		return event, false
 	}
 	again = response.Header.Get(relayLifeMissingField) != "" && x.grant.Executor == (idempotency.Life{})
@@ -125,6 +125,12 @@
 	return event, again
 }
 
+// isGranterProblem reports whether e is the word of the key's granting agent
+// that the caller gets as it is.
+func (x *exchange) isGranterProblem(e request.Event) bool {
+	return x.forward && (e.Kind == request.PeerRefused || e.Kind == request.PeerUnknown)
+}
+
 // relayBody returns the body of one relayed request. A grant that only asks
 // for the peer's process life carries none, because nothing runs under it.
 func (x *exchange) relayBody() *attemptBody {
