Idempotency: a full ledger forgets the oldest outcomes that it must not keep

Cause: 50000 records kept for 15 minutes are full at 56 keyed requests a second, and from there every new one was refused. Change: when room is short the oldest settled record gives its place after 2 minutes; its mark stays, so a repeat gets 'outcome unknown' and never a second run. Records under way stay. Ruled out: a larger bound alone, because it only moves the wall.

--- a/internal/idempotency/grant.go
+++ b/internal/idempotency/grant.go
@@ -165,9 +165,7 @@
 	if l.latest.Sub(l.swept) >= expireInterval {
 		l.swept = l.latest
 		l.rotate()
-		for _, t := range l.tables {
-			t.expire(l.latest)
-		}
+		l.room.expire(l.latest)
 	}
 	return l.latest
 }
--- a/internal/idempotency/idempotency_test.go
+++ b/internal/idempotency/idempotency_test.go
@@ -143,6 +143,7 @@
 	is.Equal(l.Begin(start, key(2), print1).Verdict, Run)
 	is.Equal(l.Begin(start, key(3), print1).Verdict, Full)
 	l.Finish(start, key(1), Outcome{Status: 200, Body: []byte("ab"), Whole: true})
+	is.Equal(l.Begin(start.Add(leastRetention-1), key(6), print1).Verdict, Full)
 	l.Finish(start, key(2), Outcome{Status: 200, Body: []byte("ab"), Whole: true})
 	is.Equal(l.Begin(start, key(1), print1).Outcome.Whole, true)
 	is.Equal(l.Begin(start, key(2), print1).Outcome.Whole, false) // no room for its body
@@ -151,7 +152,14 @@
 	later := start.Add(recordRetention + expireInterval)
 	is.Equal(l.Begin(later, key(3), print1).Verdict, RefusedBefore) // told not run, never runs
 	is.Equal(l.Begin(later, key(4), print1).Verdict, Run)
-	is.Equal(l.Len(), 1)
+	is.Equal(l.Begin(later, key(7), print1).Verdict, Run)
+	is.Equal(l.Begin(later, key(8), print1).Verdict, Full) // both are under way
+	l.Finish(later, key(7), Outcome{Status: 200})
+	later = later.Add(leastRetention)
+	is.Equal(l.Begin(later, key(9), print1).Verdict, Run) // in the place of 7
+	is.Equal(l.Begin(later, key(7), print1).Verdict, OutcomeUnknown)
+	is.Equal(l.Begin(later, key(4), print1).Verdict, InProgress)
+	is.Equal(l.Len(), 2)
 	is.Equal(l.table.room.bytes, 0)
 	l.Begin(start.Add(3*KeyLifetime), key(5), print1)
 	is.Equal(len(l.table.marks), 0)
--- a/internal/idempotency/ledger.go
+++ b/internal/idempotency/ledger.go
@@ -76,7 +76,7 @@
 	}
 	if l.latest.Sub(l.swept) >= expireInterval {
 		l.swept = l.latest
-		l.table.expire(l.latest)
+		l.table.room.expire(l.latest)
 		l.table.marks.expire(l.latest.Add(-KeyLifetime))
 	}
 	return l.latest
--- a/internal/idempotency/table.go
+++ b/internal/idempotency/table.go
@@ -5,14 +5,8 @@
 	"time"
 )
 
-// Bounds of what is remembered.
+// Bounds of one table.
 const (
-	// recordRetention is how long the outcome of a finished request is kept for replay.
-	recordRetention = 15 * time.Minute
-	// maxRecords bounds the records of one ledger.
-	maxRecords = 50_000
-	// maxAnswerBytes bounds the answers that one ledger keeps.
-	maxAnswerBytes = 16 << 20
 	// MaxAnswerSize is the largest answer that is kept for replay, in bytes.
 	MaxAnswerSize = 16 << 10
 	// expireInterval is the least time between two sweeps.
@@ -88,14 +82,6 @@
 	room    *room
 }
 
-// room counts what the tables of one owner hold together.
-type room struct {
-	maxRecords int
-	maxBytes   int
-	records    int
-	bytes      int
-}
-
 func newTable(r *room) *table {
 	return &table{marks: make(marks), records: make(map[uint64]*record), room: r}
 }
@@ -110,7 +96,7 @@
 	case refused:
 		return Decision{Verdict: RefusedBefore}
 	}
-	if t.room.records >= t.room.maxRecords {
+	if !t.room.has(now) {
 		t.marks.set(now, n, refused)
 		return Decision{Verdict: Full}
 	}
@@ -169,7 +155,7 @@
 	t.room.bytes += len(o.Body)
 	rec.state = finished
 	rec.outcome = o
-	rec.settled = now
+	t.settle(now, n, rec)
 }
 
 func (t *table) lose(now time.Time, n uint64) {
@@ -178,17 +164,12 @@
 		return
 	}
 	rec.state = unknown
-	rec.settled = now
+	t.settle(now, n, rec)
 }
 
-// expire forgets settled records after their retention; their marks stay. A
-// record of a request under way is never forgotten.
-func (t *table) expire(now time.Time) {
-	for n, rec := range t.records {
-		if rec.state != begun && now.Sub(rec.settled) >= recordRetention {
-			t.drop(n, rec)
-		}
-	}
+func (t *table) settle(now time.Time, n uint64, rec *record) {
+	rec.settled = now
+	t.room.settled = append(t.room.settled, settledRecord{table: t, number: n})
 }
 
 // clear gives back the room of all records.
