backend stand-in: test that a run whose answer is lost is in the ledger

Change: a booking whose caller is gone must be recorded; the defect now fails TestRunWhoseAnswerIsLostIsRecorded.

--- a/internal/standin/backend/backend_test.go
+++ b/internal/standin/backend/backend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -110,6 +111,19 @@
 	is.Equal(runs[0].Key, "k1")
 }
 
+func TestRunWhoseAnswerIsLostIsRecorded(t *testing.T) {
+	is := is.New(t)
+	s := start(t, Config{})
+	is.NoErr(s.SetKnobs(Knobs{SlowMillis: maxKnobMillis}))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel() // the caller is gone while the booking runs
+	w := httptest.NewRecorder()
+	s.Handler().ServeHTTP(w, httptest.NewRequestWithContext(ctx, http.MethodPost, "/book?booking=a", strings.NewReader("{}")))
+	is.Equal(w.Body.Len(), 0)
+	is.Equal(CountRuns(s.Ledger().Runs()), map[string]int{"a": 1})
+	is.Equal(s.Load().Cancelled, uint64(1))
+}
+
 func TestShedRequestIsNotRun(t *testing.T) {
 	is := is.New(t)
 	s := start(t, Config{})
