--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -250,6 +250,7 @@
 	counters := NewMetrics(a.metrics)
 	incarnation := uint64(time.Now().UnixNano())
 	a.driver = a.newDriver(last, incarnation)
+	a.driver.Register(a.metrics)
 	if a.gateway, err = a.newGateway(last, incarnation); err != nil {
 		return err
 	}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -113,6 +113,7 @@
 		return nil, err
 	}
 	b.driver = b.newDriver()
+	b.driver.Register(b.telemetry.Set())
 	b.streams = stream.NewServer(stream.Options{
 		Identity: identity,
 		Sync:     b.serveSync,
