Gateway: only the process that knows a request can say that it was not run

Cause: an agent that took over the address of another refused a relayed request for its service with 'not run' without knowing whether its predecessor had run it; asked a second time after a lost answer, that word was taken. Change: a refusal counts for a key or a grant only if it comes from the process life that the key or the grant names; else just this ask was not run. TestOnlyTheSameProcessCanSayNotRun failed first (not-run, wanted unknown) and passes now. The package's tests passed twice with -race.

--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -348,3 +348,18 @@
 	is.Equal(f.send(a, "GET", "/", "", nil).status, 200)
 	is.Equal(a.runs.Load(), int64(5))
 }
+
+// TestOnlyTheSameProcessCanSayNotRun: an agent that took over the address of
+// the granting agent refuses the request of its key, which may have run before.
+func TestOnlyTheSameProcessCanSayNotRun(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, nil)
+	a := f.add(echo, nil)
+	other := f.spec
+	other.ID = 8
+	b := f.add(echo, func(cfg *Config) { cfg.Spec = func() service.Spec { return other } })
+	earlier := idempotency.NewIssuer(b.member.Addr, 1, idempotency.NoncePrefix{9})
+	got := f.send(a, "POST", "/orders", earlier.Issue(time.Now(), f.keys, f.spec.ID), nil)
+	is.Equal(got.outcome, OutcomeUnknown)
+	is.Equal(b.runs.Load(), int64(0))
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -170,6 +170,9 @@
 	case OutcomeRun:
 		return x.answerStarted()
 	case OutcomeNotRun:
+		if !x.knowsRequest(response) {
+			return request.Event{Kind: request.PeerUnreached}
+		}
 		wait, _ := parseMillis(response.Header.Get(relayRetryMsField))
 		return request.Event{
 			Kind:       request.PeerRefused,
@@ -189,6 +192,22 @@
 	}
 }
 
+// knowsRequest reports whether a refusal comes from the process life that the
+// key or the grant names. Another one can only tell that this ask did not run.
+func (x *exchange) knowsRequest(response *http.Response) bool {
+	life, err := idempotency.ParseLife(response.Header.Get(relayLifeField))
+	switch {
+	case x.repeatable:
+		return true
+	case err != nil:
+		return false
+	case x.forward:
+		return life.Incarnation == x.key.Incarnation
+	default:
+		return life.Incarnation == x.grant.Executor.Incarnation
+	}
+}
+
 // answerStarted stops the clock: the deadline bounds the start of the answer.
 func (x *exchange) answerStarted() request.Event {
 	if !x.timer.Stop() {
