Gateway: a removed service does not say 'not run' to a request with a key

Cause: the refusal was given before any record was looked at, and an earlier copy of the request may have run. TestRemovedServiceRefuses failed first (not-run, wanted unknown) and passes now.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -39,7 +39,12 @@
 func (x *exchange) checkRequest() (problem, bool) {
 	switch {
 	case x.spec.ID == 0:
-		return newProblem("no-service", http.StatusServiceUnavailable, OutcomeNotRun, "The service does not exist",
+		outcome := OutcomeNotRun
+		if !x.repeatable && x.r.Header.Get(KeyField) != "" {
+			// Before the service was removed, an earlier copy may have run.
+			outcome = OutcomeUnknown
+		}
+		return newProblem("no-service", http.StatusServiceUnavailable, outcome, "The service does not exist",
 			"it was removed, or this agent has not got it yet").after(defaultRetryAfter), true
 	case x.r.Method == http.MethodConnect:
 		return newProblem("method", http.StatusNotImplemented, OutcomeNotRun, "CONNECT is not supported",
--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -363,3 +363,13 @@
 	is.Equal(got.outcome, OutcomeUnknown)
 	is.Equal(b.runs.Load(), int64(0))
 }
+
+// TestRemovedServiceRefuses: what came with a key may have run before.
+func TestRemovedServiceRefuses(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, nil)
+	a := f.add(echo, func(cfg *Config) { cfg.Spec = func() service.Spec { return service.Spec{} } })
+	is.Equal(f.send(a, "GET", "/", "", nil).outcome, OutcomeNotRun)
+	is.Equal(f.send(a, "POST", "/orders", "", nil).outcome, OutcomeNotRun)
+	is.Equal(f.send(a, "POST", "/orders", a.freshKey(7), nil).outcome, OutcomeUnknown)
+}
