--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -184,6 +184,10 @@
 	if b.stopping.Load() {
 		return errkind.New(errkind.Unavailable, "the balancer is stopping", "none; another balancer takes its packets")
 	}
+	if !b.driver.Ready() && b.driver.Catalog().Revision() > 0 {
+		return errkind.New(errkind.Unavailable, "the balancer has not met the other balancers yet",
+			"check the peers in the settings; after some seconds without an answer it goes on alone")
+	}
 	if !b.driver.Ready() {
 		return errkind.New(errkind.Unavailable, "the balancer has no configuration yet", "check that the store or a peer can be reached")
 	}
