Requests that would wait ask a peer for a free slot

Cause: placing flows cannot even out slots. With five slots, chance alone fills those of one host while others have room, and long flows cannot be moved.

Ruled out: relaying whenever the slots of this host are full, without a free slot at the peer; the request then waits there instead. Preferring peers by reported load: reports do not cross data centres and slots change faster.

Change: a GET or HEAD that would wait asks one peer, which refuses at once unless it has a free slot; then the request waits where it is. The share of requests that ask follows the share of asks that found a slot. Requests that may not be repeated and requests with content never ask.

A refusal with no peer left to try no longer takes from the retry budget.

--- a/cmd/lab/spread.go
+++ b/cmd/lab/spread.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"os"
 	"time"
 
@@ -10,7 +11,7 @@
 // spreadCmd compares policies that spread work over backend servers.
 type spreadCmd struct {
 	Load    float64       `help:"Offered share of connections and slots." default:"0.7"`
-	Span    time.Duration `help:"Measured virtual time of each run." default:"300s"`
+	Span    time.Duration `help:"Measured virtual time of each run." default:"120s"`
 	Seed    uint64        `help:"Seed of all random choices." default:"1"`
 	Workers int           `help:"Runs at a time." default:"3"`
 	JSON    string        `help:"File to write the results to as JSON." type:"path"`
@@ -29,6 +30,5 @@
 	if err != nil {
 		return err
 	}
-	defer file.Close()
-	return spread.WriteJSON(file, results)
+	return errors.Join(spread.WriteJSON(file, results), file.Close())
 }
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -216,6 +216,11 @@
 	return uint8(busy * full / slots)
 }
 
+// HasRoom reports whether a request would get a slot at once.
+func (c *Controller) HasRoom(now time.Time) bool {
+	return c.queue.len() == 0 && c.hasSlot(now) && c.tokenWait(now) == 0
+}
+
 // Running returns the number of requests that hold a slot.
 func (c *Controller) Running() int { return len(c.running) }
 
--- /dev/null
+++ b/internal/agent/claim_test.go
@@ -0,0 +1,75 @@
+package agent
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/almondledge/almondledge/internal/envelope"
+	"github.com/almondledge/almondledge/internal/opening"
+	"github.com/almondledge/almondledge/internal/spread"
+)
+
+var thirdAddr = netip.MustParseAddrPort("127.1.0.3:7000")
+
+func peerClaim() claim {
+	return claim{owner: peerAddr, destID: []byte("chosen-by-caller"), report: spread.Report{Flows: 0.25}, hasLoad: true}
+}
+
+// A claim's load counts when its owner sent it, and only then: another agent
+// that settles two claims cannot speak for the load of either.
+func TestClaimCarriesTheLoadOfItsOwner(t *testing.T) {
+	cases := []struct {
+		name string
+		from netip.AddrPort
+		want bool
+	}{
+		{"from the owner", peerAddr, true},
+		{"from another agent", thirdAddr, false},
+	}
+	opens := opening.Packet{DestID: []byte("another"), Candidates: []netip.AddrPort{selfAddr, peerAddr, thirdAddr}}
+	opensAtThird := opening.Packet{DestID: []byte("other"), Candidates: []netip.AddrPort{selfAddr, thirdAddr, peerAddr}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			l := testLink(t)
+			message := peerClaim().envelope()
+			message.Service = 1
+			l.handleClaim(c.from, &message)
+			is.Equal(l.prefersOther(time.Now(), opens), c.want)
+			is.True(!l.prefersOther(time.Now(), opensAtThird))
+			is.Equal(l.openings.Len(), 1) // the claim itself counts in both cases
+		})
+	}
+}
+
+func TestOwnClaimCountsTheNewFlow(t *testing.T) {
+	is := is.New(t)
+	l := testLink(t)
+	l.flowShare = func(more int) float64 { return 0.5 + float64(more)/4 }
+	message := l.message(&envelope.Envelope{Service: 1}, opening.Send{Claim: true, Owner: selfAddr, DestID: []byte("id")})
+	got, err := parseClaim(&message)
+	is.NoErr(err)
+	is.Equal(got.report.Flows, 0.75)
+	is.Equal(got.destID, []byte("id"))
+	message = l.message(&envelope.Envelope{Service: 1}, opening.Send{Claim: true, Owner: peerAddr, DestID: []byte("id")})
+	got, err = parseClaim(&message)
+	is.NoErr(err)
+	is.True(!got.hasLoad)
+}
+
+func FuzzParseClaim(f *testing.F) {
+	f.Add(peerClaim().envelope().Payload)
+	f.Add([]byte{})
+	f.Add([]byte{4, 1, 2})
+	f.Add([]byte{1, 2, 3})
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		message := envelope.Envelope{Candidates: []netip.AddrPort{peerAddr}, Payload: payload}
+		got, err := parseClaim(&message)
+		if err == nil && len(got.destID) > len(payload) {
+			t.Fatal("connection ID is longer than its claim")
+		}
+	})
+}
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -62,6 +62,7 @@
 		Repeatable: x.repeatable,
 		Local:      true,
 		PeersFirst: draining,
+		AskPeer:    !draining && x.asksPeer(),
 		Peers:      len(x.peers),
 		Deadline:   x.deadline,
 	}
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -6,6 +6,8 @@
 type counters struct {
 	outcomes          map[Outcome]*metrics.Counter
 	relays            *metrics.Counter
+	asks              *metrics.Counter
+	asksRefused       *metrics.Counter
 	reasks            *metrics.Counter
 	retries           *metrics.Counter
 	relayOtherService *metrics.Counter
@@ -21,6 +23,8 @@
 	c := &counters{
 		outcomes:          make(map[Outcome]*metrics.Counter),
 		relays:            set.GetOrCreateCounter(`almondledge_relays_total`),
+		asks:              set.GetOrCreateCounter(`almondledge_free_slot_asks_total`),
+		asksRefused:       set.GetOrCreateCounter(`almondledge_free_slot_asks_refused_total`),
 		reasks:            set.GetOrCreateCounter(`almondledge_relay_reasks_total`),
 		retries:           set.GetOrCreateCounter(`almondledge_request_retries_total`),
 		relayOtherService: set.GetOrCreateCounter(`almondledge_relays_refused_total{cause="other-service"}`),
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -48,9 +48,11 @@
 	// forward is set when another agent granted the key and alone decides.
 	forward bool
 	grant   idempotency.Grant
-	ticket  admission.Ticket
-	holds   bool
-	answer  *answer
+	// freeSlotOnly is set when a peer asked for a free slot and keeps the request otherwise.
+	freeSlotOnly bool
+	ticket       admission.Ticket
+	holds        bool
+	answer       *answer
 }
 
 func (g *Gateway) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
@@ -142,7 +144,7 @@
 
 // admit asks for a local slot and waits in the queue if it must.
 func (x *exchange) admit() request.Event {
-	ticket, decision, wait := x.g.slots.offer(x.caller, x.deadline)
+	ticket, decision, wait := x.g.slots.offer(x.caller, x.deadline, x.freeSlotOnly)
 	if decision.Verdict == admission.Queued {
 		x.handle(request.Event{Kind: request.Enqueued})
 		select {
--- a/internal/gateway/fields.go
+++ b/internal/gateway/fields.go
@@ -29,6 +29,7 @@
 	relayCallerField   = "Almondledge-Relay-Caller"
 	relayKeyField      = "Almondledge-Relay-Key"
 	relayGrantField    = "Almondledge-Relay-Grant"
+	relayFreeSlotField = "Almondledge-Relay-Free-Slot"
 	incarnationField   = "Almondledge-Incarnation"
 	ownFieldPrefix     = "Almondledge-"
 	relayRetryMsField  = "Almondledge-Retry-After-Ms"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/almondledge/almondledge/internal/member"
 	"github.com/almondledge/almondledge/internal/retry"
 	"github.com/almondledge/almondledge/internal/service"
+	"github.com/almondledge/almondledge/internal/spread"
 )
 
 // Bounds of one request.
@@ -114,6 +115,7 @@
 	issuer *idempotency.Issuer
 	ledger *idempotency.Ledger
 	grants *idempotency.GrantLog
+	asking *spread.Asking
 	// granted is the number of grants given.
 	granted uint64
 	// executors holds the process lives of peers, as they told them.
@@ -139,6 +141,7 @@
 		issuer:    idempotency.NewIssuer(cfg.Addr, cfg.Incarnation, cfg.NoncePrefix),
 		ledger:    idempotency.NewLedger(cfg.Addr, cfg.Incarnation),
 		grants:    idempotency.NewGrantLog(cfg.Incarnation),
+		asking:    spread.NewAsking(),
 		executors: make(map[netip.AddrPort]uint64),
 	}
 	return g, nil
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -20,6 +20,7 @@
 		return
 	}
 	x.hops = hops
+	x.freeSlotOnly = x.r.Header.Get(relayFreeSlotField) != ""
 	id, err := strconv.ParseUint(x.r.Header.Get(relayServiceField), 10, 16)
 	if err != nil || service.ID(id) != x.spec.ID || x.spec.ID == 0 {
 		x.g.counters.relayOtherService.Inc()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -83,6 +83,9 @@
 		x.newGrant(peer)
 		event, _ = x.ask(a, peer)
 	}
+	if a.FreeSlotOnly {
+		x.noteAsk(event)
+	}
 	event.Attempt = a.Attempt
 	return event
 }
@@ -115,6 +118,9 @@
 	body := x.relayBody()
 	out := x.outgoing(x.ctx, base, body)
 	x.setRelayFields(out.Header)
+	if a.FreeSlotOnly {
+		out.Header.Set(relayFreeSlotField, "1")
+	}
 	response, err := x.g.cfg.Relay.RoundTrip(out) //nolint:bodyclose // dropAnswer closes it.
 	if err != nil {
 		x.body.end(body)
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -29,13 +29,17 @@
 	}
 }
 
-// offer asks for a slot. For a queued request the channel gets the decision.
-func (s *slots) offer(caller netip.Addr, deadline time.Time) (admission.Ticket, admission.Decision, <-chan admission.Decision) {
+// offer asks for a slot. For a queued request the channel gets the decision. A
+// request that takes a free slot only is refused instead of queued.
+func (s *slots) offer(caller netip.Addr, deadline time.Time, freeOnly bool) (admission.Ticket, admission.Decision, <-chan admission.Decision) {
 	limits := s.cfg.Spec().Limits
 	now, rnd := s.cfg.Now(), s.cfg.Rand()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.deliver(s.control.SetLimits(now, rnd, limits))
+	if freeOnly && !s.control.HasRoom(now) {
+		return 0, admission.Decision{Verdict: admission.Refused, Reason: admission.ReasonQueueFull}, nil
+	}
 	ticket, decision, changes := s.control.Offer(now, rnd, caller, deadline)
 	var wait chan admission.Decision
 	if decision.Verdict == admission.Queued {
@@ -47,6 +51,13 @@
 	return ticket, decision, wait
 }
 
+// hasRoom reports whether a request would run at once.
+func (s *slots) hasRoom() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.control.HasRoom(s.cfg.Now())
+}
+
 // release gives a slot back, or a place in the queue.
 func (s *slots) release(t admission.Ticket) {
 	now, rnd := s.cfg.Now(), s.cfg.Rand()
--- a/internal/lab/spread/host.go
+++ b/internal/lab/spread/host.go
@@ -27,12 +27,15 @@
 	slots    *admission.Controller
 	tracker  *spread.Tracker
 	budget   *retry.Budget
+	asking   *spread.Asking
 	waiting  map[admission.Ticket]*request
 	// announced is the load of the last announcement.
 	announced float64
 	// busy is the slot time used in the current window, up to counted.
 	busy    time.Duration
 	counted time.Time
+	// whole is the slot time used in all windows that count.
+	whole time.Duration
 }
 
 func newHost(index int, now time.Time, seed uint64) *host {
@@ -45,6 +48,7 @@
 		slots:   admission.New(now, limits, admission.Ramp{}),
 		tracker: spread.NewTracker(now),
 		budget:  retry.NewBudget(retryShare),
+		asking:  spread.NewAsking(),
 		waiting: make(map[admission.Ticket]*request),
 		counted: now,
 	}
@@ -59,9 +63,6 @@
 	return h.present && !h.draining && h.flows < connectionsPerHost
 }
 
-// isFull reports whether a request would wait.
-func (h *host) isFull(now time.Time) bool { return h.slots.Load(now) == math.MaxUint8 }
-
 // count adds the slot time used until now; call it before slots change.
 func (h *host) count(now time.Time) {
 	h.busy += now.Sub(h.counted) * time.Duration(h.slots.Running())
@@ -85,10 +86,11 @@
 
 // request is one request of a flow.
 type request struct {
-	caller   netip.Addr
-	work     time.Duration
-	arrived  time.Time
-	relayed  bool
+	caller  netip.Addr
+	work    time.Duration
+	arrived time.Time
+	// hops counts the ways between agents before the request runs.
+	hops     int
 	runsAt   *host
 	ticket   admission.Ticket
 	deadline time.Time
--- a/internal/lab/spread/measure.go
+++ b/internal/lab/spread/measure.go
@@ -26,6 +26,8 @@
 	// PassesPerFlow and RelaysPerRequest are the extra hops.
 	PassesPerFlow    float64 `json:"passesPerFlow"`
 	RelaysPerRequest float64 `json:"relaysPerRequest"`
+	// AsksRefusedPerRequest are the asks for a free slot that found none.
+	AsksRefusedPerRequest float64 `json:"asksRefusedPerRequest"`
 	// FlowsRefused and RequestsRefused count those that found no room.
 	FlowsRefused    int `json:"flowsRefused"`
 	RequestsRefused int `json:"requestsRefused"`
@@ -36,12 +38,11 @@
 
 // recorder collects what happens after the warm-up.
 type recorder struct {
-	from                                                           time.Time
-	flows, passes, requests, relays, flowsRefused, requestsRefused int
-	flowRatios, slotRatios                                         []float64
-	waits                                                          []float64
-	whole                                                          map[*host]time.Duration
-	windowEnd                                                      time.Time
+	from                                                                        time.Time
+	flows, passes, requests, relays, flowsRefused, requestsRefused, asksRefused int
+	flowRatios, slotRatios                                                      []float64
+	waits                                                                       []float64
+	windowEnd                                                                   time.Time
 }
 
 func (m *recorder) add(now time.Time, counter *int) {
@@ -57,6 +58,14 @@
 func (m *recorder) refusedRequest(now time.Time) { m.add(now, &m.requestsRefused) }
 func (m *recorder) relay(now time.Time)          { m.add(now, &m.relays) }
 
+func (m *recorder) ask(now time.Time, found bool) {
+	if found {
+		m.add(now, &m.relays)
+	} else {
+		m.add(now, &m.asksRefused)
+	}
+}
+
 func (m *recorder) wait(now time.Time, d time.Duration) {
 	if !now.Before(m.from) {
 		m.waits = append(m.waits, float64(d)/float64(time.Millisecond))
@@ -91,32 +100,33 @@
 	}
 }
 
+// addWhole adds the window that ends to the whole run.
 func (r *run) addWhole() {
-	if r.measure.whole == nil {
-		r.measure.whole = make(map[*host]time.Duration)
-	}
 	for _, h := range r.hosts {
 		if h.present && !h.draining {
-			r.measure.whole[h] += h.busy
+			h.whole += h.busy
 		}
 	}
 }
 
-func (m *recorder) result() Measure {
+func (m *recorder) result(hosts []*host) Measure {
 	var whole []float64
-	for _, d := range m.whole {
-		whole = append(whole, d.Seconds())
+	for _, h := range hosts {
+		if h.whole > 0 {
+			whole = append(whole, h.whole.Seconds())
+		}
 	}
 	return Measure{
-		Flows:            imbalanceOf(m.flowRatios),
-		Slots:            imbalanceOf(m.slotRatios),
-		SlotsWhole:       maxOverMean(whole),
-		PassesPerFlow:    ratio(m.passes, m.flows),
-		RelaysPerRequest: ratio(m.relays, m.requests),
-		FlowsRefused:     m.flowsRefused,
-		RequestsRefused:  m.requestsRefused,
-		WaitMean:         mean(m.waits),
-		WaitP99:          percentile(m.waits, 0.99),
+		Flows:                 imbalanceOf(m.flowRatios),
+		Slots:                 imbalanceOf(m.slotRatios),
+		SlotsWhole:            maxOverMean(whole),
+		PassesPerFlow:         ratio(m.passes, m.flows),
+		RelaysPerRequest:      ratio(m.relays, m.requests),
+		AsksRefusedPerRequest: ratio(m.asksRefused, m.requests),
+		FlowsRefused:          m.flowsRefused,
+		RequestsRefused:       m.requestsRefused,
+		WaitMean:              mean(m.waits),
+		WaitP99:               percentile(m.waits, 0.99),
 	}
 }
 
--- a/internal/lab/spread/policy.go
+++ b/internal/lab/spread/policy.go
@@ -13,8 +13,8 @@
 	yields func(r *run, at *host, next netip.AddrPort) bool
 	// order may change the balancer's order of candidates.
 	order func(r *run, chosen *[routing.MaxCandidates]netip.AddrPort, count int)
-	// relays makes a request that would wait ask a peer for a free slot first.
-	relays bool
+	// asks makes a request that would wait ask a peer for a free slot first.
+	asks bool
 }
 
 // ownLoadMargin is how far an agent may be above the offered load before it
@@ -26,8 +26,9 @@
 		{name: "rendezvous"},
 		{name: "own load", yields: yieldsByOwnLoad},
 		{name: "two choices", order: twoChoices},
+		{name: "ask", asks: true},
 		{name: "claims", yields: yieldsByClaims},
-		{name: "claims, relay", yields: yieldsByClaims, relays: true},
+		{name: "claims, ask", yields: yieldsByClaims, asks: true},
 	}
 }
 
--- a/internal/lab/spread/report.go
+++ b/internal/lab/spread/report.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -9,17 +10,27 @@
 
 // WriteTable prints the results for people.
 func WriteTable(w io.Writer, results []Result) error {
-	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "case\tservice (hosts)\tpolicy\tflows mean\tflows p99\tslots mean\tslots p99\tslots whole"+
-		"\tpasses/flow\trelays/request\tflows refused\trequests refused\twait ms\twait p99 ms")
+	var text bytes.Buffer
+	t := tabwriter.NewWriter(&text, 0, 0, 2, ' ', 0)
+	_, _ = t.Write([]byte("case\tservice (hosts)\tpolicy\tflows\tp99\tslots\tp99\twhole run\tpasses/flow\trelays/request" +
+		"\tasks refused/request\tflows refused\trequests refused\twait ms\tp99\n"))
 	for _, result := range results {
-		m := result.Measures
-		fmt.Fprintf(t, "%s\t%s (%d)\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%d\t%d\t%.1f\t%.0f\n",
-			result.Scenario, result.Place, result.Hosts, result.Policy,
-			m.Flows.Mean, m.Flows.P99, m.Slots.Mean, m.Slots.P99, m.SlotsWhole,
-			m.PassesPerFlow, m.RelaysPerRequest, m.FlowsRefused, m.RequestsRefused, m.WaitMean, m.WaitP99)
+		_, _ = t.Write(result.row())
 	}
-	return t.Flush()
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	_, err := text.WriteTo(w)
+	return err
+}
+
+func (r Result) row() []byte {
+	m := r.Measures
+	return fmt.Appendf(nil, "%s\t%s (%d)\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%d\t%d\t%.1f\t%.0f\n",
+		r.Scenario, r.Place, r.Hosts, r.Policy,
+		m.Flows.Mean, m.Flows.P99, m.Slots.Mean, m.Slots.P99, m.SlotsWhole,
+		m.PassesPerFlow, m.RelaysPerRequest, m.AsksRefusedPerRequest, m.FlowsRefused, m.RequestsRefused,
+		m.WaitMean, m.WaitP99)
 }
 
 // WriteJSON prints the results for programs.
--- a/internal/lab/spread/requests.go
+++ b/internal/lab/spread/requests.go
@@ -40,12 +40,8 @@
 		r.relay(q, peers)
 		return
 	}
-	if r.policy.relays && len(peers) > 0 && own.isFull(r.now) {
-		q.relayed = true
-		r.measure.relay(r.now)
-		if !peers[0].isFull(r.now) && r.offerRequest(peers[0], q) {
-			return
-		}
+	if r.policy.asks && r.ask(own, q) {
+		return
 	}
 	if r.offerRequest(own, q) {
 		return
@@ -57,8 +53,36 @@
 	r.relay(q, peers)
 }
 
+// ask offers a request that would wait to a random peer with a free slot. The
+// agents of a service are mostly in other data centres, from where no load
+// reports come, so the choice uses none.
+func (r *run) ask(own *host, q *request) bool {
+	if own.slots.HasRoom(r.now) || !own.asking.Allow(r.choices.Float64()) {
+		return false
+	}
+	var peers []*host
+	for _, h := range r.hosts {
+		if h != own && h.present && !h.draining {
+			peers = append(peers, h)
+		}
+	}
+	if len(peers) == 0 {
+		return false
+	}
+	peer := peers[r.choices.IntN(len(peers))]
+	found := peer.slots.HasRoom(r.now)
+	own.asking.Note(found)
+	r.measure.ask(r.now, found)
+	q.hops++
+	if found {
+		return r.offerRequest(peer, q)
+	}
+	q.hops++ // the way back
+	return false
+}
+
 func (r *run) relay(q *request, peers []*host) {
-	q.relayed = true
+	q.hops++
 	for _, peer := range peers[:min(len(peers), maxRelays)] {
 		r.measure.relay(r.now)
 		if r.offerRequest(peer, q) {
@@ -124,9 +148,7 @@
 
 func (r *run) startRequest(q *request) {
 	wait := r.now.Sub(q.arrived)
-	if q.relayed {
-		wait += hopTime
-	}
+	wait += time.Duration(q.hops) * hopTime
 	r.measure.wait(r.now, wait)
 	q.runsAt.noteLoad(r.now)
 	h := q.runsAt
--- a/internal/lab/spread/run.go
+++ b/internal/lab/spread/run.go
@@ -96,7 +96,7 @@
 		r.now = e.at
 		e.do()
 	}
-	return r.measure.result()
+	return r.measure.result(r.hosts)
 }
 
 // plan enters the events that start everything.
--- a/internal/opening/opening_test.go
+++ b/internal/opening/opening_test.go
@@ -37,10 +37,10 @@
 	unwilling map[netip.AddrPort]bool
 	// prefersOther, if set, reports whether a willing agent would rather pass a flow.
 	prefersOther func() bool
-	delivered map[netip.AddrPort]map[string]bool
-	refused   int
-	passes    int
-	inFlight  []Send
+	delivered    map[netip.AddrPort]map[string]bool
+	refused      int
+	passes       int
+	inFlight     []Send
 }
 
 func newNetwork(agents ...netip.AddrPort) *network {
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -125,6 +125,9 @@
 	Attempt int
 	// Peer is the index of the peer of a Relay.
 	Peer int
+	// FreeSlotOnly marks a Relay that the peer must refuse at once if the request
+	// would wait there.
+	FreeSlotOnly bool
 	// Reask marks a Relay that asks the same peer again for an attempt that it deduplicates.
 	Reask bool
 	// Delay is the time to wait before an Admit, Dispatch or Relay.
@@ -143,6 +146,8 @@
 	Local bool
 	// PeersFirst sends the request to a peer when there is one: the agent is draining.
 	PeersFirst bool
+	// AskPeer asks the first peer for a free slot before the request waits here.
+	AskPeer bool
 	// Peers is the number of peers that may be tried, in order.
 	Peers int
 	// PeerDecides reports that the only peer is the granting agent of the
@@ -167,6 +172,8 @@
 	// mayHaveRun is set by the first attempt whose outcome is not certain.
 	mayHaveRun bool
 	localTried bool
+	// asking is set while the only attempt so far asks a peer for a free slot.
+	asking bool
 	// peerRefused is set once a peer was reached and had no room.
 	peerRefused bool
 	passing     bool
@@ -176,6 +183,12 @@
 // New returns the machine of a request that was just received and its first action.
 func New(route Route, budget *retry.Budget) (*Machine, Action) {
 	m := &Machine{route: route, budget: budget, state: Received}
+	if route.AskPeer && route.Peers > 0 {
+		m.asking = true
+		ask := m.elsewhere()
+		ask.FreeSlotOnly = true
+		return m, ask
+	}
 	if route.Local && (!route.PeersFirst || route.Peers == 0) {
 		return m, Action{Kind: Admit}
 	}
@@ -228,6 +241,7 @@
 		return m.lost(now, e)
 	case PeerUnknown, BackendFailed:
 		m.mayHaveRun = true
+		m.asking = false
 		return m.again(now, e)
 	case AnswerStarted:
 		m.passing = true
@@ -269,6 +283,10 @@
 	if e.BodySpent {
 		return m.end(RefuseNotRun, causeOf(e))
 	}
+	if m.asking {
+		m.asking = false
+		return Action{Kind: Admit}
+	}
 	return m.afterRefusal(now, e)
 }
 
@@ -276,6 +294,7 @@
 // be asked again for the same attempt.
 func (m *Machine) lost(now time.Time, e Event) Action {
 	m.mayHaveRun = true
+	m.asking = false
 	if m.reasks < m.route.Reasks && !e.BodySpent {
 		wait, ok := retry.Backoff(m.reasks+1, e.Random, now, m.route.Deadline)
 		if ok {
@@ -312,7 +331,7 @@
 		return m.stop(CauseDeadline)
 	}
 	// Looking for room elsewhere costs work while all are busy, so it is budgeted.
-	if e.Overloaded && !m.budget.Take(now) {
+	if e.Overloaded && m.peer < m.route.Peers && !m.budget.Take(now) {
 		return m.refuse(causeOf(e))
 	}
 	return m.elsewhere()
--- a/internal/spread/report.go
+++ b/internal/spread/report.go
@@ -19,7 +19,7 @@
 	// scarceSlots is the share of occupied slots from which slots are compared.
 	scarceSlots = 0.5
 	// slotBand is the relative difference of occupied slots up to which flows decide.
-	slotBand = 0.25
+	slotBand = 0.15
 )
 
 var errReport = errkind.New(errkind.Invalid, "load report is cut short", "none; the datagram is dropped and counted")
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -137,3 +137,18 @@
 	}
 	return float64(most) * agents / flows
 }
+
+func TestAskingEbbsWhilePeersAreBusy(t *testing.T) {
+	is := is.New(t)
+	asking := NewAsking()
+	is.True(asking.Allow(0.999))
+	for range 100 {
+		asking.Note(false)
+	}
+	is.True(!asking.Allow(0.1))
+	is.True(asking.Allow(0.01)) // some requests go on asking
+	for range 16 {
+		asking.Note(true)
+	}
+	is.True(asking.Allow(0.999))
+}
