Spread: compare slots only where both agents are busy

Cause: agents with room for requests in their slots were taken for idle while a host joined, and agents that ran requests of others for busy.

The new case of TestPrefersNext fails with the comparison as it was.

--- a/internal/spread/report.go
+++ b/internal/spread/report.go
@@ -34,10 +34,11 @@
 
 // difference returns how much more load an agent with report own has than one
 // with report other, relative to the larger one. Open flows decide, unless slots
-// are scarce and clearly uneven, as beside a slow backend server: slots fill and
-// empty by chance, and small differences of them would unsettle the flows.
+// are scarce at both and clearly uneven, as beside a slow backend server: slots
+// fill and empty by chance, and small differences of them would unsettle the
+// flows. An agent that has just joined has few busy slots whatever its flows.
 func difference(own, other Report) float64 {
-	if max(own.Slots, other.Slots) >= scarceSlots {
+	if min(own.Slots, other.Slots) >= scarceSlots {
 		slots := relative(own.Slots, other.Slots)
 		if math.Abs(slots) > slotBand {
 			return slots
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -40,6 +40,7 @@
 		{"few flows are compared as well", 0.002, 0, Report{Flows: 0.001}, 0, 0.999, true},
 		{"uneven slots outweigh flows", 0.65, 0.95, even, 0, 0.999, true},
 		{"a peer whose slots are busier gets nothing", 0.8, 0.6, Report{Flows: 0.6, Slots: 0.9}, 0, 0, false},
+		{"slots of a peer that has just joined do not count", 0.7, 0.7, Report{Flows: 0.7, Slots: 0.3}, 0, 0, false},
 		{"idle slots do not count", 0.7, 0.4, Report{Flows: 0.7, Slots: 0.1}, 0, 0, false},
 		{"a full peer gets nothing", 0.99, 0.7, Report{Flows: 0.96, Slots: 0.1}, 0, 0, false},
 		{"an old report is not used", 0.9, 0.7, even, ReportLifetime + time.Second, 0, false},
