--- a/internal/lab/spread/host.go
+++ b/internal/lab/spread/host.go
@@ -89,6 +89,7 @@
 	caller  netip.Addr
 	work    time.Duration
 	arrived time.Time
+	askable bool
 	// hops counts the ways between agents before the request runs.
 	hops     int
 	runsAt   *host
--- a/internal/lab/spread/requests.go
+++ b/internal/lab/spread/requests.go
@@ -20,6 +20,7 @@
 		list = r.active
 	}
 	pick := r.arrivals.Float64()
+	askable := r.arrivals.Float64() < r.options.Askable
 	if len(list) == 0 {
 		return
 	}
@@ -27,7 +28,7 @@
 	if f.host == nil {
 		return // the caller has no connection
 	}
-	q := &request{caller: f.caller, work: work, arrived: r.now, deadline: r.now.Add(requestDeadline)}
+	q := &request{caller: f.caller, work: work, askable: askable, arrived: r.now, deadline: r.now.Add(requestDeadline)}
 	f.host.budget.Request(r.now)
 	r.measure.request(r.now)
 	r.serve(f.host, q)
@@ -40,7 +41,7 @@
 		r.relay(q, peers)
 		return
 	}
-	if r.policy.asks && r.ask(own, q) {
+	if r.policy.asks && q.askable && r.ask(own, q) {
 		return
 	}
 	if r.offerRequest(own, q) {
--- a/internal/lab/spread/spread.go
+++ b/internal/lab/spread/spread.go
@@ -21,6 +21,9 @@
 type Options struct {
 	// Load is the offered share of the connections and of the slots.
 	Load float64
+	// Askable is the share of requests that may ask a peer for a free slot, as
+	// GET and HEAD requests do.
+	Askable float64
 	// Span is the measured time after the warm-up.
 	Span time.Duration
 	// Seed sets all random choices.
