--- a/internal/agent/claim_test.go
+++ b/internal/agent/claim_test.go
@@ -37,7 +37,7 @@
 			l := testLink(t)
 			message := peerClaim().envelope()
 			message.Service = 1
-			l.handleClaim(c.from, &message)
+			l.handleClaim(time.Now(), c.from, &message)
 			is.Equal(l.prefersOther(time.Now(), opens), c.want)
 			is.True(!l.prefersOther(time.Now(), opensAtThird))
 			is.Equal(l.openings.Len(), 1) // the claim itself counts in both cases
--- a/internal/control/fault_test.go
+++ b/internal/control/fault_test.go
@@ -46,11 +46,15 @@
 			return b.Node.Table().Get(frozen.Addr).State == member.Dead
 		})
 	})
+	newcomer := f.addBalancer(0, 9, 1)
+	f.Run(2 * time.Second)
 	old := frozen.Node.Self().Incarnation
 	stale := &control.Announce{Sequence: 9, Self: control.MemberRecord(frozen.Node.Self())}
 	f.Perform(f.balancers[0], f.balancers[0].Node.Handle(f.Now, frozen.Addr, stale))
 	is.True(!f.willing(f.balancers[0], frozen)) // the old incarnation is refused
 	is.Equal(f.balancers[0].Node.Counters().ContestedAnnouncements, uint64(1))
+	f.Perform(newcomer, newcomer.Node.Handle(f.Now, frozen.Addr, stale))
+	is.True(!f.willing(newcomer, frozen)) // also by a balancer that joined after the death
 
 	f.Thaw(frozen)
 	f.mustHappen(t, "trusted again", 3*time.Second, func() bool { return f.allWilling(frozen) })
@@ -60,12 +64,53 @@
 	}
 }
 
+func TestShortFreezeTakesANewIncarnation(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(22, 1, 3, 3)
+	f.agents[0].Frozen = true
+	f.Run(1700 * time.Millisecond) // too short to be declared dead
+	f.Thaw(f.agents[0])
+	f.Run(time.Second)
+	is.Equal(f.agents[0].Node.Counters().Freezes, uint64(1))
+	is.True(f.agents[0].Node.Self().Incarnation > 1)
+	is.True(f.allWilling(f.agents...))
+}
+
+func TestAgentThatDiesWithItsObserversIsFound(t *testing.T) {
+	f := newFleet(23, 1, 8, 8)
+	for _, a := range f.agents[2].Node.ReplyTargets(f.Now) {
+		f.Host(a).Down = true
+	}
+	f.agents[2].Down = true
+	f.mustHappen(t, "given up", 16*time.Second, func() bool { return f.noneWilling(f.agents[2]) })
+}
+
+func TestNoSuspicionWithoutASentProbe(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(25, 1, 1, 2)
+	poor := memnet.Balancer(balancerAddr(0, 1), dcName(0), 1, f.seeds...)
+	poor.BytesPerSecond = 400 // less than one probe takes
+	observer := f.Add(poor)
+	for sequence := range uint32(5) {
+		self := f.agents[0].Node.Self()
+		f.Perform(observer, observer.Node.Handle(f.Now, f.agents[0].Addr, &control.Announce{Sequence: sequence, Self: control.MemberRecord(self)}))
+	}
+	f.Cut = func(_, to *memnet.Host) bool { return to == observer }
+	f.Run(10 * time.Second)
+	is.Equal(observer.Node.Counters().Suspicions, uint64(0))
+}
+
 func TestFrozenBalancerJudgesNobodyByItsOwnSilence(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(12, 1, 5, 6)
+	f := newFleet(12, 2, 5, 3)
+	f.LoseWhileFrozen = true
 	f.balancers[2].Frozen = true
 	f.Run(20 * time.Second)
 	f.Thaw(f.balancers[2])
+	for range 200 {
+		f.Run(control.TickPeriod / 20)
+		is.True(f.allWilling(f.agents...)) // those of the other data centre too
+	}
 	f.Run(10 * time.Second)
 	is.Equal(f.balancers[2].Node.Counters().Suspicions, uint64(0))
 	is.Equal(f.balancers[0].Node.Table().Get(f.balancers[2].Addr).State, member.Serving)
@@ -133,6 +178,31 @@
 	})
 }
 
+// TestDeadMembersDoNotComeBackAfterALongPartition keeps regions apart for longer
+// than dead members are remembered: the other side still holds them alive.
+func TestDeadMembersDoNotComeBackAfterALongPartition(t *testing.T) {
+	f := newFleet(24, 2, 3, 2)
+	f.Cut = func(from, to *memnet.Host) bool { return from.DataCentre != to.DataCentre }
+	f.agents[0].Down, f.balancers[0].Down = true, true
+	f.Run(11 * time.Minute)
+	far := f.balancers[5]
+	if far.Node.Table().Get(f.agents[0].Addr).State != member.Serving || f.balancers[1].Node.Table().Get(f.agents[0].Addr) != nil {
+		t.Fatal("the partition did not make the views differ")
+	}
+	f.Cut = nil
+	gone := func(b, h *memnet.Host) bool {
+		r := b.Node.Table().Get(h.Addr)
+		return r == nil || r.State == member.Dead
+	}
+	f.mustHappen(t, "dead for all", 30*time.Second, func() bool {
+		return f.allBalancers(func(b *memnet.Host) bool { return gone(b, f.agents[0]) && gone(b, f.balancers[0]) })
+	})
+	f.Run(time.Minute)
+	if !f.allBalancers(func(b *memnet.Host) bool { return gone(b, f.agents[0]) && gone(b, f.balancers[0]) }) {
+		t.Fatal("a dead member came back")
+	}
+}
+
 func TestSplitDataCentreHeals(t *testing.T) {
 	f := newFleet(15, 1, 6, 6)
 	side := func(h *memnet.Host) bool { return h.Addr.Addr().As4()[3]%2 == 0 }
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/almondledge/almondledge/internal/member"
@@ -15,33 +14,23 @@
 	loadSize         = 30
 	// piggybackMembers is the number of changes that a probe carries.
 	piggybackMembers = 4
-	// maxRemoteMembers is the number of changes in one message to other data centres.
-	maxRemoteMembers = 8
 )
 
-// loadPeriod is the time between two messages that carry load reports only.
-const loadPeriod = time.Second
+// urgentExtraSends makes it less likely that urgent news dies out before the last
+// node has heard it: that node would learn it by repair only, which is slower.
+const urgentExtraSends = 2 * gossipFanout
 
 // urgentPause is the time in which only the first news of a member is urgent.
 const urgentPause = 5 * time.Second
 
-// loadSends is the number of times that a node passes a load report on.
-const loadSends = 4
-
 // rumor is a change that is being passed on.
 type rumor struct {
-	m member.Member
+	m      member.Member
+	urgent bool
+	// superseded is set when later news of the member has replaced this.
+	superseded bool
 	// left is the number of sends left.
 	left int
-	// origin is the number of messages left that also go to each other data centre.
-	origin int
-}
-
-// loadRumor is a load report that is being passed on.
-type loadRumor struct {
-	report loadReport
-	left   int
-	queued bool
 }
 
 // gossip spreads changes among balancers: each is sent a bounded number of
@@ -52,6 +41,10 @@
 	// fresh holds urgent news that was not sent yet, urgent the rest of it.
 	fresh, urgent []*rumor
 	normal        []*rumor
+	// remote holds the first-hand news for each other data centre; nextRemote is
+	// the place of the one that was served last.
+	remote     map[string]*remoteQueue
+	nextRemote int
 	// lastUrgent holds when news of a member was last urgent.
 	lastUrgent map[netip.AddrPort]time.Time
 	nextForget time.Time
@@ -69,6 +62,7 @@
 	return &gossip{
 		b:          b,
 		rumors:     map[netip.AddrPort]*rumor{},
+		remote:     map[string]*remoteQueue{},
 		lastUrgent: map[netip.AddrPort]time.Time{},
 		loadRumors: map[netip.AddrPort]*loadRumor{},
 	}
@@ -107,37 +101,23 @@
 func (g *gossip) add(now time.Time, m member.Member, sends int, firstHand bool) {
 	if old := g.rumors[m.Addr]; old != nil {
 		old.left = 0 // its queue drops it when it comes to it
+		old.superseded = true
+	}
+	r := &rumor{m: m, left: sends, urgent: g.isUrgent(now, m)}
+	if r.urgent {
+		r.left += urgentExtraSends
 	}
-	r := &rumor{m: m, left: sends}
 	if firstHand {
-		r.origin = originSends
+		g.addRemote(r)
 	}
 	g.rumors[m.Addr] = r
-	if g.isUrgent(now, m) {
+	if r.urgent {
 		g.fresh = append(g.fresh, r)
 	} else {
 		g.normal = append(g.normal, r)
 	}
 }
 
-// addLoad queues a load report for the balancers of the same data centre.
-func (g *gossip) addLoad(m member.Member) {
-	if m.DataCentre != g.b.n.self.DataCentre {
-		return
-	}
-	l := g.loadRumors[m.Addr]
-	if l == nil {
-		l = &loadRumor{}
-		g.loadRumors[m.Addr] = l
-	}
-	l.report = loadReport{Addr: m.Addr, Incarnation: m.Incarnation, Sequence: m.Sequence, Load: m.Load}
-	l.left = loadSends
-	if !l.queued {
-		l.queued = true
-		g.loads = append(g.loads, l)
-	}
-}
-
 // spreadRevision sends news of a new catalog revision a number of times.
 func (g *gossip) spreadRevision(sends int) {
 	g.revisionLeft = sends
@@ -145,27 +125,30 @@
 
 func (g *gossip) tick(now time.Time) {
 	g.forgetUrgent(now)
-	switch {
-	case len(g.fresh)+len(g.urgent) > 0:
+	g.sendRemote(now)
+	if len(g.fresh)+len(g.urgent) > 0 {
 		g.send(now, ClassUrgent)
-	case g.revisionLeft > 0:
+	} else if g.revisionLeft > 0 {
 		g.send(now, ClassTicket)
-	case len(g.normal) > 0 && !now.Before(g.nextNormal):
+	}
+	if len(g.normal) > 0 && !now.Before(g.nextNormal) {
 		g.send(now, ClassMember)
-	case len(g.loads) > 0 && !now.Before(g.nextLoad):
+		g.nextNormal = now.Add(g.b.n.cfg.Timing.GossipPeriod)
+	}
+	if len(g.loads) > 0 && !now.Before(g.nextLoad) {
 		g.send(now, ClassLoad)
+		g.nextLoad = now.Add(loadPeriod)
 	}
 }
 
-// send builds one message from the queues, the urgent first, and sends it to
-// random balancers.
+// send builds one message from the queues of a class and sends it to random
+// balancers. Every message carries the catalog revision.
 func (g *gossip) send(now time.Time, class Class) {
 	to := g.targets()
 	if len(to) == 0 {
 		g.drop()
 		return
 	}
-	g.sendRemote(now, class)
 	room := 0
 	for len(to) > 0 {
 		room = g.b.n.budget.available(now, class, len(to)) - gossipHeaderSize
@@ -178,16 +161,15 @@
 		return
 	}
 	m := &Gossip{Self: g.b.n.record(), Revision: g.b.n.catalog.Revision()}
-	if class == ClassUrgent {
+	switch class {
+	case ClassUrgent:
 		m.Updates = g.fill(&g.fresh, &g.urgent, m.Updates, &room, len(to))
 		m.Updates = g.fill(&g.urgent, &g.urgent, m.Updates, &room, len(to))
-	}
-	if class <= ClassMember {
+	case ClassMember:
 		m.Updates = g.fill(&g.normal, &g.normal, m.Updates, &room, len(to))
-		g.nextNormal = now.Add(g.b.n.cfg.Timing.GossipPeriod)
+	case ClassLoad:
+		m.Loads = g.fillLoads(&room, len(to))
 	}
-	m.Loads = g.fillLoads(&room, len(to))
-	g.nextLoad = now.Add(loadPeriod)
 	payload, err := Encode(m)
 	if err != nil {
 		g.b.n.counters.BadMessages++
@@ -199,45 +181,11 @@
 	g.revisionLeft = max(0, g.revisionLeft-len(to))
 }
 
-// sendRemote tells one balancer of each other data centre what this node learned
-// at first hand.
-func (g *gossip) sendRemote(now time.Time, class Class) {
-	var origin []*rumor
-	for _, queue := range [][]*rumor{g.fresh, g.urgent, g.normal} {
-		for _, r := range queue {
-			if r.left > 0 && r.origin > 0 && len(origin) < maxRemoteMembers {
-				origin = append(origin, r)
-			}
-		}
-	}
-	if len(origin) == 0 {
-		return
-	}
-	m := &Gossip{Self: g.b.n.record(), Revision: g.b.n.catalog.Revision()}
-	for _, r := range origin {
-		m.Updates = append(m.Updates, r.m)
-	}
-	sent := true
-	for _, dataCentre := range g.b.table.DataCentres() {
-		if dataCentre == g.b.n.self.DataCentre {
-			continue
-		}
-		if r := g.b.randomBalancer(dataCentre); r != nil {
-			sent = g.b.n.send(now, class, r.Addr, m) && sent
-		}
-	}
-	if !sent {
-		return // the budget held something back; the next message tries again
-	}
-	for _, r := range origin {
-		r.origin--
-	}
-}
-
 // drop forgets all news: there is nobody to tell, and a later peer pulls the whole table.
 func (g *gossip) drop() {
 	clear(g.rumors)
 	g.fresh, g.urgent, g.normal = nil, nil, nil
+	clear(g.remote)
 	clear(g.loadRumors)
 	g.loads = nil
 	g.revisionLeft = 0
@@ -246,13 +194,7 @@
 // targets returns the balancers for one message: a few of the own data centre,
 // and at times one of another.
 func (g *gossip) targets() []netip.AddrPort {
-	var list []netip.AddrPort
-	for range gossipFanout {
-		r := g.b.randomBalancer(g.b.n.self.DataCentre)
-		if r != nil && !slices.Contains(list, r.Addr) {
-			list = append(list, r.Addr)
-		}
-	}
+	list := g.b.randomBalancers(gossipFanout, g.b.n.self.Addr)
 	if len(list) == 0 || g.b.n.cfg.Rand.Float64() < remoteGossipShare {
 		if r := g.b.randomRemote(); r != nil {
 			list = append(list, r.Addr)
@@ -287,27 +229,6 @@
 	return updates
 }
 
-func (g *gossip) fillLoads(room *int, sends int) loadList {
-	var list loadList
-	for range len(g.loads) {
-		if *room < loadSize || len(list) >= maxLoads {
-			return list
-		}
-		l := g.loads[0]
-		g.loads = g.loads[1:]
-		*room -= loadSize
-		list = append(list, l.report)
-		l.left -= sends
-		if l.left > 0 {
-			g.loads = append(g.loads, l)
-			continue
-		}
-		l.queued = false
-		delete(g.loadRumors, l.report.Addr)
-	}
-	return list
-}
-
 // piggyback returns a few urgent changes for a probe. They count as one send each.
 func (g *gossip) piggyback() memberList {
 	room := piggybackMembers * (memberBaseSize + maxDataCentreBytes)
@@ -315,6 +236,19 @@
 	return g.fill(&g.urgent, &g.urgent, updates, &room, 1)
 }
 
+// known notes that another balancer passed on what this node is passing on too:
+// the news has got around, so fewer sends are left. News that takes a member out
+// of service is spared, because the last node must hear of it in time.
+func (g *gossip) known(m member.Member) {
+	r := g.rumors[m.Addr]
+	if r == nil || !m.State.TakesNewFlows() {
+		return
+	}
+	if r.m.Incarnation == m.Incarnation && r.m.State == m.State {
+		r.left -= gossipFanout
+	}
+}
+
 // forget stops passing on the news of one member.
 func (g *gossip) forget(a netip.AddrPort) {
 	if r := g.rumors[a]; r != nil {
--- a/internal/controlplane/driver.go
+++ b/internal/controlplane/driver.go
@@ -47,10 +47,14 @@
 
 	mu   sync.Mutex
 	node *control.Node
-
-	catalog    atomic.Pointer[catalog.Catalog]
-	ready      atomic.Bool
-	candidates sync.Map // service.ID to []presence.Candidate
+	// stopped forbids new pulls once Run waits for the running ones.
+	stopped bool
+
+	// What readers without the lock see; publish sets it.
+	catalog      atomic.Pointer[catalog.Catalog]
+	replyTargets atomic.Pointer[[]netip.AddrPort]
+	ready        atomic.Bool
+	candidates   sync.Map // service.ID to []presence.Candidate
 	// watchChanged wakes the watcher when the node's duty to watch may have changed.
 	watchChanged chan struct{}
 	lastTimed    time.Time
@@ -79,8 +83,7 @@
 func (d *Driver) Run(ctx context.Context) error {
 	ticker := time.NewTicker(control.TickPeriod)
 	defer ticker.Stop()
-	defer d.pulls.Wait()
-	defer d.cancel()
+	defer d.stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -91,6 +94,24 @@
 	}
 }
 
+// stop ends the running pulls and waits for them.
+func (d *Driver) stop() {
+	d.mu.Lock()
+	d.stopped = true
+	d.mu.Unlock()
+	d.cancel()
+	d.pulls.Wait()
+}
+
+// startPull runs pull in a goroutine unless the driver has stopped.
+func (d *Driver) startPull(pull func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.stopped {
+		d.pulls.Go(pull)
+	}
+}
+
 // HandleDatagram takes the payload of an authenticated control envelope.
 func (d *Driver) HandleDatagram(from netip.AddrPort, payload []byte) error {
 	m, err := control.Decode(payload)
@@ -122,6 +143,8 @@
 	d.ready.Store(d.node.Ready())
 	table := d.node.Table()
 	if table == nil {
+		targets := d.node.ReplyTargets(now)
+		d.replyTargets.Store(&targets)
 		return
 	}
 	timed := now.Sub(d.lastTimed) >= timedPeriod
@@ -139,9 +162,9 @@
 		// A lost datagram is as good as one that could not be sent.
 		_ = d.opts.Send(o.To, o.Payload)
 	case control.CatalogPull:
-		d.pulls.Go(func() { d.pullCatalog(o) })
+		d.startPull(func() { d.pullCatalog(o) })
 	case control.MemberPull:
-		d.pulls.Go(func() { d.pullMembers(o) })
+		d.startPull(func() { d.pullMembers(o) })
 	case control.Notice:
 		d.notice(o)
 	}
@@ -188,11 +211,13 @@
 	return d.node.Bucket()
 }
 
-// ReplyTargets returns the balancers through which an agent sends replies.
+// ReplyTargets returns the balancers through which an agent sends replies. The
+// slice must not be changed. It takes no lock, so it may be called per packet.
 func (d *Driver) ReplyTargets() []netip.AddrPort {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.node.ReplyTargets(time.Now())
+	if targets := d.replyTargets.Load(); targets != nil {
+		return *targets
+	}
+	return nil
 }
 
 // Peers returns willing agents of the same service.
@@ -209,6 +234,13 @@
 	return d.node.Self()
 }
 
+// AddSeeds adds balancers to contact first, such as those of the roster.
+func (d *Driver) AddSeeds(seeds []netip.AddrPort) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.node.AddSeeds(seeds)
+}
+
 // SetState announces a new state of this node.
 func (d *Driver) SetState(s member.State) {
 	d.do(func(now time.Time) []control.Output { return d.node.SetState(now, s) })
--- a/internal/faultmatrix/steps_test.go
+++ b/internal/faultmatrix/steps_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/almondledge/almondledge/internal/lab/caller"
+	"github.com/almondledge/almondledge/internal/service"
 	"github.com/almondledge/almondledge/internal/settings"
 	"github.com/almondledge/almondledge/internal/standin/backend"
 )
@@ -57,6 +59,22 @@
 		wait()
 		return target
 	}},
+	{"repeated", func(c *cell) int {
+		flow, target := c.established()
+		key := c.key(flow)
+		var calls []func()
+		for range 3 {
+			other := c.open()
+			calls = append(calls, func() { c.bookUnder(other, "repeated", key) })
+		}
+		wait := c.together(calls...)
+		time.Sleep(300 * time.Millisecond)
+		c.strike(target)
+		wait()
+		time.Sleep(5 * time.Second)
+		c.bookUnder(c.open(), "repeated", key)
+		return target
+	}},
 	{"body half sent", func(c *cell) int {
 		flow, target := c.established()
 		wait := c.together(func() { c.upload(flow, "sheet") })
@@ -75,9 +93,7 @@
 	}},
 	{"relayed", func(c *cell) int {
 		flow, target := c.established()
-		specs := baseSpecs()[:1]
-		specs[0].Draining = append(specs[0].Draining, agentAddr(target))
-		c.accept("drain", specs...)
+		c.change("drain", func(spec *service.Spec) { spec.Draining = []netip.AddrPort{agentAddr(target)} })
 		time.Sleep(2 * time.Second)
 		wait := c.together(
 			func() { c.book(flow, "relayed", 2*time.Second) },
@@ -123,9 +139,9 @@
 	}},
 	{"ticket written", func(c *cell) int {
 		flow, target := c.established()
-		specs := baseSpecs()[:1]
-		specs[0].Limits.QueueLength = 25
-		wait := c.together(func() { c.accept("written", specs...) })
+		wait := c.together(func() {
+			c.change("written", func(spec *service.Spec) { spec.Limits.QueueLength = 25 })
+		})
 		c.strike(target)
 		c.sheet(flow, "during")
 		wait()
@@ -133,9 +149,7 @@
 	}},
 	{"ticket spreading", func(c *cell) int {
 		flow, target := c.established()
-		specs := baseSpecs()[:1]
-		specs[0].Limits.QueueLength = 26
-		c.accept("spreading", specs...)
+		c.change("spreading", func(spec *service.Spec) { spec.Limits.QueueLength = 26 })
 		c.strike(target)
 		c.sheet(flow, "during")
 		return target
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -70,7 +70,7 @@
 
 	mu      sync.Mutex
 	reading bool
-	taken   bool
+	gone    bool
 	closed  bool
 }
 
@@ -93,9 +93,13 @@
 	a.mu.Unlock()
 	n, err := a.source.Read(p)
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.reading = false
-	a.taken = a.taken || n > 0
-	a.mu.Unlock()
+	// An empty body over HTTP/3 has no length and ends at the first read: then
+	// nothing of it is gone.
+	if n > 0 || err != nil && !errors.Is(err, io.EOF) {
+		a.gone = true
+	}
 	return n, err
 }
 
@@ -105,12 +109,17 @@
 	return nil
 }
 
-// shut ends reading and reports whether anything was read, or may still be. The
-// end of an empty stream takes nothing: a GET over HTTP/3 has a body of unknown
-// length, and must stay repeatable.
+// isSpent reports whether a part of the caller's stream is gone.
+func (a *attemptBody) isSpent() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.once && (a.gone || a.reading)
+}
+
+// shut ends reading and reports whether anything was read or is about to be.
 func (a *attemptBody) shut() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.closed = true
-	return a.taken || a.reading
+	return a.gone || a.reading
 }
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -61,11 +61,12 @@
 	route := request.Route{
 		Repeatable: x.repeatable,
 		Local:      true,
-		PeersFirst: draining,
-		AskPeer:    !draining && x.asksPeer(),
+		PeersFirst: draining || x.g.health.isOutlier(),
+		Draining:   draining,
 		Peers:      len(x.peers),
 		Deadline:   x.deadline,
 	}
+	route.AskPeer = !route.PeersFirst && x.asksPeer()
 	if !x.repeatable {
 		route.Reasks = maxReasks
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -41,7 +41,8 @@
 	key        *idempotency.Key
 	keyText    string
 	print      idempotency.Fingerprint
-	record     settler
+	// subject names the record that this agent keeps of the request.
+	subject request.Subject
 
 	machine *request.Machine
 	peers   []member.Member
@@ -56,7 +57,7 @@
 }
 
 func (g *Gateway) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
-	x := &exchange{g: g, w: w, r: r, spec: g.cfg.Spec(), body: newRequestBody(r), record: noRecord{}}
+	x := &exchange{g: g, w: w, r: r, spec: g.cfg.Spec(), body: newRequestBody(r)}
 	x.ctx, x.cancel = context.WithCancelCause(r.Context())
 	if from, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
 		x.caller = from.Addr()
@@ -74,7 +75,7 @@
 	x.dropAnswer()
 	x.cancel(errFinished)
 	x.releaseSlot()
-	x.record.lose()
+	x.settleUnknown()
 }
 
 // startClock sets the deadline: limit from now.
@@ -111,7 +112,7 @@
 func (x *exchange) handle(e request.Event) request.Action {
 	now := x.g.cfg.Now()
 	e.Random = x.g.cfg.Rand()
-	e.BodySpent = x.body.spent
+	e.BodySpent = x.body.spent || x.answer != nil && x.answer.body.isSpent()
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
 	return x.machine.Handle(now, e)
@@ -120,6 +121,10 @@
 // perform does what the machine asks for and returns what came of it, or false
 // when the exchange is over.
 func (x *exchange) perform(a request.Action) (request.Event, bool) {
+	if a.Retry {
+		x.g.counters.retries.Inc()
+		x.endAttempt()
+	}
 	if a.Delay > 0 && !x.sleep(a.Delay) {
 		return x.ended(), true
 	}
@@ -136,12 +141,23 @@
 		x.refuse(a)
 	case request.AnswerUnknown:
 		x.answerUnknown(a)
-	case request.Abort:
+	case request.Finish:
+	default:
 		x.abort()
 	}
 	return request.Event{}, false
 }
 
+// endAttempt lets go of an answer that is not passed on and starts the clock
+// again, so that another attempt can follow.
+func (x *exchange) endAttempt() {
+	x.releaseSlot()
+	if x.answer != nil {
+		x.dropAnswer()
+		x.timer.Reset(x.remaining())
+	}
+}
+
 // admit asks for a local slot and waits in the queue if it must.
 func (x *exchange) admit() request.Event {
 	ticket, decision, wait := x.g.slots.offer(x.caller, x.deadline, x.freeSlotOnly)
@@ -173,17 +189,44 @@
 
 // dispatch sends the request to the local backend server.
 func (x *exchange) dispatch(a request.Action) request.Event {
-	if x.ctx.Err() != nil {
+	if x.ctx.Err() != nil || x.remaining() <= 0 {
 		// Nothing was sent, so the outcome is certain.
 		x.releaseSlot()
 		return request.Event{Kind: request.BackendUnreached, Attempt: a.Attempt}
 	}
+	sent := x.g.cfg.Now()
+	event := x.attempt(a)
+	x.observe(event, x.g.cfg.Now().Sub(sent))
+	return event
+}
+
+// observe tells the health of the backend server the end of an attempt. A
+// caller that cancels, or leaves far less time than the service does, says
+// nothing about the backend server.
+func (x *exchange) observe(e request.Event, waited time.Duration) {
+	if e.Kind == request.CallerCancelled {
+		return
+	}
+	if e.Kind == request.DeadlinePassed && waited < x.spec.Limits.Deadline()/2 {
+		return
+	}
+	var response *http.Response
+	if x.answer != nil {
+		response = x.answer.response
+	}
+	x.g.health.observe(isFailure(e, response))
+}
+
+// attempt sends one attempt to the local backend server and waits for the head
+// of the answer.
+func (x *exchange) attempt(a request.Action) request.Event {
 	body := x.body.open()
 	response, err := x.g.backend.roundTrip(x.ctx, x, body) //nolint:bodyclose // dropAnswer closes it.
 	if err == nil {
 		x.answer = &answer{response: response, body: body}
 		event := x.answerStarted()
 		event.Attempt = a.Attempt
+		event.Shed = response.StatusCode == http.StatusServiceUnavailable
 		return event
 	}
 	x.body.end(body)
--- a/internal/gateway/fields.go
+++ b/internal/gateway/fields.go
@@ -24,16 +24,22 @@
 
 // Fields of relayed requests and their answers, between agents only.
 const (
-	relayServiceField  = "Almondledge-Relay-Service"
-	relayHopsField     = "Almondledge-Relay-Hops"
-	relayCallerField   = "Almondledge-Relay-Caller"
-	relayKeyField      = "Almondledge-Relay-Key"
-	relayGrantField    = "Almondledge-Relay-Grant"
+	relayServiceField = "Almondledge-Relay-Service"
+	relayHopsField    = "Almondledge-Relay-Hops"
+	relayCallerField  = "Almondledge-Relay-Caller"
+	relayKeyField     = "Almondledge-Relay-Key"
+	relayGrantField   = "Almondledge-Relay-Grant"
+	// relayFreeSlotField asks to run the request at once or to refuse it.
 	relayFreeSlotField = "Almondledge-Relay-Free-Slot"
-	incarnationField   = "Almondledge-Incarnation"
-	ownFieldPrefix     = "Almondledge-"
-	relayRetryMsField  = "Almondledge-Retry-After-Ms"
-	relayOverloadField = "Almondledge-Overloaded"
+	// relayLifeField tells in an answer the life that grants for the agent must name.
+	relayLifeField = "Almondledge-Relay-Life"
+	// relayLifeMissingField says in an answer that the grant named no life.
+	relayLifeMissingField = "Almondledge-Relay-Life-Missing"
+	relayRetryMsField     = "Almondledge-Relay-Retry-After-Ms"
+	relayOverloadField    = "Almondledge-Relay-Overloaded"
+
+	// ownFieldPrefix begins the fields that only this system may set.
+	ownFieldPrefix = "Almondledge-"
 )
 
 // Outcome says what became of a request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,9 +4,10 @@
 // It is the driver around the pure packages admission, idempotency, request
 // and retry: it owns the HTTP exchanges, the locks and the timers; they decide.
 //
-// Lock order: no method holds two of the locks of this package at a time.
-// Gateway.mu guards the pure objects that all requests share; slots.mu guards
-// the admission control; flight.mu guards the count of requests under way.
+// Lock order: health.mu before slots.mu; the other locks are never held
+// together. Gateway.mu guards the pure objects that all requests share, slots.mu
+// the admission control, health.mu the health of the backend server, and
+// flight.mu the count of requests under way.
 package gateway
 
 import (
@@ -27,6 +28,7 @@
 	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/idempotency"
 	"github.com/almondledge/almondledge/internal/member"
+	"github.com/almondledge/almondledge/internal/request"
 	"github.com/almondledge/almondledge/internal/retry"
 	"github.com/almondledge/almondledge/internal/service"
 	"github.com/almondledge/almondledge/internal/spread"
@@ -81,8 +83,8 @@
 	Rand func() float64
 	// Metrics receives the counters.
 	Metrics *metrics.Set
-	// OnLoad is called with each new load of the backend server, 0 to 255. It
-	// must return soon and must not call the Gateway.
+	// OnLoad is called with each new load of the backend server, 0 to 255; an
+	// outlier reports 255. It must return soon and must not call the Gateway.
 	OnLoad func(load uint8)
 	// Ramp is the cold-start ramp of the backend server.
 	Ramp admission.Ramp
@@ -100,6 +102,7 @@
 	cfg      Config
 	backend  backend
 	slots    *slots
+	health   *health
 	flight   flight
 	counters *counters
 	draining atomic.Bool
@@ -111,15 +114,10 @@
 
 // shared holds the pure objects that all requests use.
 type shared struct {
-	budget *retry.Budget
-	issuer *idempotency.Issuer
-	ledger *idempotency.Ledger
-	grants *idempotency.GrantLog
-	asking *spread.Asking
-	// granted is the number of grants given.
-	granted uint64
-	// executors holds the process lives of peers, as they told them.
-	executors map[netip.AddrPort]uint64
+	budget  *retry.Budget
+	issuer  *idempotency.Issuer
+	records *request.Records
+	asking  *spread.Asking
 }
 
 // New returns a Gateway.
@@ -135,14 +133,13 @@
 	}
 	g := &Gateway{cfg: cfg, backend: newBackend(cfg), counters: newCounters(cfg.Metrics)}
 	g.slots = newSlots(cfg)
+	g.health = newHealth(cfg, g.slots.setOutlier)
 	g.flight.idle = make(chan struct{})
 	g.shared = shared{
-		budget:    retry.NewBudget(retryShare),
-		issuer:    idempotency.NewIssuer(cfg.Addr, cfg.Incarnation, cfg.NoncePrefix),
-		ledger:    idempotency.NewLedger(cfg.Addr, cfg.Incarnation),
-		grants:    idempotency.NewGrantLog(cfg.Incarnation),
-		asking:    spread.NewAsking(),
-		executors: make(map[netip.AddrPort]uint64),
+		budget:  retry.NewBudget(retryShare),
+		issuer:  idempotency.NewIssuer(cfg.Addr, cfg.Incarnation, cfg.NoncePrefix),
+		records: request.NewRecords(cfg.Addr, cfg.Incarnation),
+		asking:  spread.NewAsking(),
 	}
 	return g, nil
 }
@@ -194,7 +191,15 @@
 		defer x.close()
 		x.servePeer()
 	}
-	return http.StripPrefix(RelayPrefix, http.HandlerFunc(serve))
+	relayed := http.StripPrefix(RelayPrefix, http.HandlerFunc(serve))
+	// Not a ServeMux: that would redirect relayed requests whose paths are not clean.
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPut && r.URL.Path == ledgerPath {
+			g.takeLedger(w, r)
+			return
+		}
+		relayed.ServeHTTP(w, r)
+	})
 }
 
 // Drain makes the Gateway relay new requests to peers. Without any peer it goes
@@ -203,7 +208,12 @@
 	if g.draining.Swap(true) {
 		return
 	}
-	g.cfg.Log.WithField("in_flight", g.flight.count()).WithField("peers", len(g.peers())).Info("gateway draining")
+	entry := g.cfg.Log.WithField("in_flight", g.flight.count()).WithField("peers", len(g.peers()))
+	if len(g.peers()) == 0 {
+		entry.Warn("gateway draining without any peer: new requests are still served here")
+	} else {
+		entry.Info("gateway draining: new requests go to peers")
+	}
 	g.flight.drain()
 }
 
@@ -213,6 +223,10 @@
 // Idle returns a channel that is closed when, after Drain, no request is under way.
 func (g *Gateway) Idle() <-chan struct{} { return g.flight.idle }
 
+// Outlier reports whether the outcomes of its requests show that the backend
+// server is broken. Its requests go to peers as long as any has room.
+func (g *Gateway) Outlier() bool { return g.health.isOutlier() }
+
 // isDraining reports whether Drain was called or the service's ticket drains this agent.
 func (g *Gateway) isDraining(spec service.Spec) bool {
 	if g.draining.Load() || slices.Contains(spec.Draining, g.cfg.Addr) {
@@ -221,6 +235,13 @@
 	return g.cfg.Draining != nil && g.cfg.Draining()
 }
 
+// life returns the life that grants for this agent must name.
+func (g *Gateway) life() idempotency.Life {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.shared.records.Life()
+}
+
 // freshKey issues an idempotency key.
 func (g *Gateway) freshKey(id service.ID) string {
 	ring := g.cfg.Keys()
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/almondledge/almondledge/internal/idempotency"
+	"github.com/almondledge/almondledge/internal/member"
 	"github.com/almondledge/almondledge/internal/request"
 )
 
@@ -132,7 +133,7 @@
 	now := x.g.cfg.Now()
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
-	if x.g.shared.ledger.Spend(now, *x.key) {
+	if x.g.shared.records.Spend(now, *x.key) {
 		return OutcomeNotRun
 	}
 	return OutcomeUnknown
@@ -141,20 +142,15 @@
 // serveKeyed serves a request with a valid key: here if this agent granted the
 // key, else at the agent that did.
 func (x *exchange) serveKeyed() {
-	if x.key.Granter != x.g.cfg.Addr {
+	decision := x.begin(request.Subject{Kind: request.ByKey, Key: *x.key})
+	switch decision.Verdict {
+	case idempotency.Run:
+		x.runRecorded()
+	case idempotency.NotGranter:
 		x.serveForward()
-		return
-	}
-	now := x.g.cfg.Now()
-	x.g.mu.Lock()
-	decision := x.g.shared.ledger.Begin(now, *x.key, x.print)
-	x.g.mu.Unlock()
-	if decision.Verdict != idempotency.Run {
+	default:
 		x.answerVerdict(decision)
-		return
 	}
-	x.record = keyRecord{g: x.g, key: *x.key}
-	x.runRecorded()
 }
 
 // runRecorded runs a request whose record was begun just now.
@@ -170,7 +166,12 @@
 // serveForward passes a request to the agent that granted its key.
 func (x *exchange) serveForward() {
 	granter, ok := x.g.findPeer(x.key.Granter)
-	if !ok || x.hops > 0 {
+	if !ok {
+		// It may be draining, or not among the sampled peers. An agent's stream
+		// address equals the address that its keys name.
+		granter = member.Member{Kind: member.Agent, Addr: x.key.Granter, Stream: x.key.Granter, Service: x.spec.ID}
+	}
+	if x.hops > 0 {
 		x.writeProblem(unknownOutcome(http.StatusBadGateway,
 			"the agent that granted the key is gone; check whether the request ran before you send it with a fresh key"))
 		return
@@ -196,9 +197,10 @@
 			"The request was refused before dispatch", "it was not run and will not be; send it with a fresh key"))
 	case idempotency.Full:
 		x.writeProblem(x.refusal(request.Action{Cause: request.CauseOverloaded}))
-	case idempotency.OtherIncarnation:
-		x.writeProblem(newProblem("other-incarnation", http.StatusConflict, OutcomeNotRun,
-			"The grant names no process life of this agent", "grant the request again for this process life"))
+	case idempotency.LifeMissing:
+		x.w.Header().Set(relayLifeMissingField, "1")
+		x.writeProblem(newProblem("life-missing", http.StatusConflict, OutcomeNotRun,
+			"The grant names no life of this agent", "grant the request again for the life in "+relayLifeField))
 	default:
 		x.writeProblem(unknownOutcome(http.StatusConflict,
 			"a request with this key may have run; check before you send it with a fresh key"))
--- a/internal/idempotency/table.go
+++ b/internal/idempotency/table.go
@@ -55,9 +55,9 @@
 	RefusedBefore
 	// Full means that there is no room for another record; the key is refused for good.
 	Full
-	// OtherIncarnation means that the grant names no process life of the
-	// executor; nothing can have run under it.
-	OtherIncarnation
+	// LifeMissing means that the grant names no life of the executor; nothing
+	// can have run under it.
+	LifeMissing
 )
 
 // Decision is a verdict with the outcome for Replay.
@@ -100,15 +100,20 @@
 	return &table{marks: make(marks), records: make(map[uint64]*record), room: r}
 }
 
-func (t *table) begin(now time.Time, n uint64, fp Fingerprint) Decision {
+// lookUp decides about n without letting it run: one that was not begun is refused.
+func (t *table) lookUp(n uint64, fp Fingerprint) Decision {
 	if rec := t.records[n]; rec != nil {
 		return rec.decide(fp)
 	}
-	switch t.marks.get(n) {
-	case used:
+	if t.marks.get(n) == used {
 		return Decision{Verdict: OutcomeUnknown}
-	case refused:
-		return Decision{Verdict: RefusedBefore}
+	}
+	return Decision{Verdict: RefusedBefore}
+}
+
+func (t *table) begin(now time.Time, n uint64, fp Fingerprint) Decision {
+	if t.records[n] != nil || t.marks.get(n) != unused {
+		return t.lookUp(n, fp)
 	}
 	if t.room.records >= t.room.maxRecords {
 		t.marks.set(now, n, refused)
@@ -181,15 +186,21 @@
 	rec.settled = now
 }
 
-// expire forgets settled records after their retention, and marks after the
-// lifetime of a key. A record of a request under way is never forgotten.
+// expire forgets settled records after their retention; their marks stay. A
+// record of a request under way is never forgotten.
 func (t *table) expire(now time.Time) {
 	for n, rec := range t.records {
 		if rec.state != begun && now.Sub(rec.settled) >= recordRetention {
 			t.drop(n, rec)
 		}
 	}
-	t.marks.expire(now.Add(-KeyLifetime))
+}
+
+// clear gives back the room of all records.
+func (t *table) clear() {
+	for n, rec := range t.records {
+		t.drop(n, rec)
+	}
 }
 
 func (t *table) drop(n uint64, rec *record) {
--- /dev/null
+++ b/internal/lab/deploy/keys.go
@@ -0,0 +1,132 @@
+package deploy
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/settings"
+)
+
+// AddPacketKey adds a fresh packet key to the settings of all balancers and
+// agents, as one that is accepted, and makes them load it.
+func (d *Deployment) AddPacketKey() error {
+	d.mu.Lock()
+	d.keyVersion++
+	version := d.keyVersion
+	d.mu.Unlock()
+	if version > settings.MaxKeyVersion {
+		return errkind.New(errkind.Overloaded, "no version is left for another packet key", "start a new run")
+	}
+	secret := make([]byte, settings.SecretBytes)
+	_, _ = rand.Read(secret) // never fails
+	return d.reload(func(keys []settings.PacketKey) []settings.PacketKey {
+		return append(keys, settings.PacketKey{Version: version, Secret: secret})
+	})
+}
+
+// UsePacketKey makes the newest packet key the current one everywhere.
+func (d *Deployment) UsePacketKey() error {
+	return d.reload(func(keys []settings.PacketKey) []settings.PacketKey {
+		newest := slices.MaxFunc(keys, func(a, b settings.PacketKey) int { return a.Version - b.Version })
+		older := slices.DeleteFunc(keys, func(k settings.PacketKey) bool { return k.Version == newest.Version })
+		return append([]settings.PacketKey{newest}, older...)
+	})
+}
+
+// OldPacketKeys names the running balancers and agents that do not use the
+// newest packet key as the current one.
+func (d *Deployment) OldPacketKeys(ctx context.Context) []string {
+	d.mu.Lock()
+	current := fmt.Sprintf("almondledge_packet_key_current{version=\"%d\"} 1\n", d.keyVersion)
+	d.mu.Unlock()
+	var old []string
+	check := func(p *Process, admin netip.AddrPort) {
+		if !p.Running() {
+			return
+		}
+		text, err := d.metricsText(ctx, admin)
+		if err != nil || !strings.Contains(text, current) {
+			old = append(old, p.Name)
+		}
+	}
+	for _, b := range d.Balancers() {
+		check(b.Process, b.admin)
+	}
+	for _, h := range d.Hosts {
+		check(h.Agent, h.admin)
+	}
+	return old
+}
+
+func (d *Deployment) metricsText(ctx context.Context, admin netip.AddrPort) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin.String()+"/metrics", nil)
+	if err != nil {
+		return "", err
+	}
+	req.Header.Set("Authorization", "Bearer "+d.fleet.AdminToken)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxControlBody))
+	return string(text), err
+}
+
+// reload changes the packet keys in all settings files and tells the processes.
+func (d *Deployment) reload(change func([]settings.PacketKey) []settings.PacketKey) error {
+	var processes []*Process
+	for _, b := range d.Balancers() {
+		processes = append(processes, b.Process)
+	}
+	for _, h := range d.Hosts {
+		processes = append(processes, h.Agent)
+	}
+	for _, p := range processes {
+		if err := changeKeys(filepath.Join(d.cfg.Dir, p.Name+".json"), change); err != nil {
+			return fmt.Errorf("settings of %s: %w", p.Name, err)
+		}
+		if !p.Running() {
+			continue // it reads the file when it starts
+		}
+		if err := p.Signal(syscall.SIGHUP); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func changeKeys(file string, change func([]settings.PacketKey) []settings.PacketKey) error {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(text, &fields); err != nil {
+		return err
+	}
+	var keys []settings.PacketKey
+	if err := json.Unmarshal(fields["packetKeys"], &keys); err != nil {
+		return err
+	}
+	if fields["packetKeys"], err = json.Marshal(change(keys)); err != nil {
+		return err
+	}
+	if text, err = json.MarshalIndent(fields, "", "  "); err != nil {
+		return err
+	}
+	return os.WriteFile(file, text, secretFileMode)
+}
--- a/internal/lab/spread/host.go
+++ b/internal/lab/spread/host.go
@@ -38,13 +38,13 @@
 	whole time.Duration
 }
 
-func newHost(index int, now time.Time, seed uint64) *host {
+func newHost(index int, now time.Time) *host {
 	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, 0, byte(index + 1)}), 7000)
 	limits := service.Limits{Connections: connectionsPerHost, Slots: slotsPerHost, QueueLength: queuePerHost}
 	return &host{
 		addr:    addr,
 		speed:   1,
-		opens:   opening.NewTable(addr, seed),
+		opens:   opening.NewTable(addr),
 		slots:   admission.New(now, limits, admission.Ramp{}),
 		tracker: spread.NewTracker(now),
 		budget:  retry.NewBudget(retryShare),
--- a/internal/lab/spread/run.go
+++ b/internal/lab/spread/run.go
@@ -72,7 +72,7 @@
 		choices:  rand.New(rand.NewPCG(options.Seed, number+1000)),
 	}
 	for i := range where.hosts {
-		h := newHost(i, start, r.seed)
+		h := newHost(i, start)
 		r.hosts = append(r.hosts, h)
 		r.byAddr[h.addr] = h
 		if !scene.joins || i > 0 {
--- a/internal/opening/opening_test.go
+++ b/internal/opening/opening_test.go
@@ -50,7 +50,7 @@
 		delivered: make(map[netip.AddrPort]map[string]bool),
 	}
 	for _, agent := range agents {
-		n.tables[agent] = NewTable(agent, 99)
+		n.tables[agent] = NewTable(agent)
 		n.delivered[agent] = make(map[string]bool)
 	}
 	return n
@@ -207,7 +207,7 @@
 			is := is.New(t)
 			p := packet("first", c.candidates...)
 			p.Hops = c.hops
-			got, ok := NewTable(agentA, 1).Alternative(p)
+			got, ok := NewTable(agentA).Alternative(p)
 			is.Equal(got, c.want)
 			is.Equal(ok, c.want.IsValid())
 		})
@@ -226,7 +226,7 @@
 
 func TestTableIsBounded(t *testing.T) {
 	is := is.New(t)
-	table := NewTable(agentA, 1)
+	table := NewTable(agentA)
 	for i := range MaxFlows + 100 {
 		id := []byte{byte(i >> 16), byte(i >> 8), byte(i)}
 		table.HandlePacket(start, Packet{DestID: id, Payload: []byte("x")}, true)
--- a/internal/presence/table.go
+++ b/internal/presence/table.go
@@ -16,6 +16,8 @@
 	// failedAt is when the member became suspect or dead without having
 	// announced its end; zero for all others.
 	failedAt time.Time
+	// hash is HashAddr of the address.
+	hash uint64
 	// index is the position in the group's list.
 	index int
 }
@@ -112,7 +114,7 @@
 	if known {
 		t.remove(old)
 	}
-	r := &Record{Member: m, Since: now}
+	r := &Record{Member: m, Since: now, hash: HashAddr(m.Addr)}
 	r.failedAt = failureTime(now, m, old)
 	t.insert(r)
 	if known {
@@ -127,6 +129,17 @@
 	return Changed
 }
 
+// Remember takes the record of a dead member that this node never knew alive, so
+// that a process that wakes up is not trusted on that incarnation. Only a joining
+// node does so; else dead members would be passed around without end.
+func (t *Table) Remember(now time.Time, m member.Member) {
+	if m.State != member.Dead || t.records[m.Addr] != nil {
+		return
+	}
+	t.insert(&Record{Member: m, Since: now, hash: HashAddr(m.Addr)})
+	t.dead = append(t.dead, deadEntry{m.Addr, m.Incarnation, now})
+}
+
 // failureTime returns when a member that is now in the state of m failed, or
 // zero when it did not.
 func failureTime(now time.Time, m member.Member, old *Record) time.Time {
--- a/internal/ticket/fault_test.go
+++ b/internal/ticket/fault_test.go
@@ -19,7 +19,7 @@
 var faultNames = map[platform.Fault]string{
 	platform.Refuse: "refuse", platform.LoseRequest: "lose request", platform.LoseAnswer: "lose answer",
 	platform.Reject: "reject", platform.FailBefore: "fail before", platform.FailAfter: "fail after",
-	platform.Late: "late",
+	platform.Late: "late", platform.Stall: "stall",
 }
 
 // String names the burst in the name of a test.
@@ -33,12 +33,12 @@
 func faultCases() [][]burst {
 	const calls = 6
 	var cases [][]burst
-	for fault := platform.Refuse; fault <= platform.Late; fault++ {
+	for fault := platform.Refuse; fault <= platform.Stall; fault++ {
 		for first := 1; first <= calls; first++ {
 			for _, count := range []int{1, 2, forever} {
 				cases = append(cases, []burst{{fault, first, count}})
 			}
-			for second := platform.Refuse; second <= platform.Late; second++ {
+			for second := platform.Refuse; second <= platform.Stall; second++ {
 				for next := first + 1; next <= calls; next++ {
 					cases = append(cases, []burst{{fault, first, 1}, {second, next, 1}})
 					cases = append(cases, []burst{{fault, first, 1}, {second, next, forever}})
@@ -53,20 +53,31 @@
 // after writes that land late, and that the same ticket can always be submitted again.
 func TestEveryFaultAtEveryStep(t *testing.T) {
 	const soon = 120 * time.Millisecond
-	for _, lateBy := range []time.Duration{soon, time.Minute} {
-		for _, bursts := range faultCases() {
-			if lateBy == soon && !hasLate(bursts) {
-				continue
+	const shards = 3
+	for shard := range shards {
+		t.Run(fmt.Sprint("shard ", shard), func(t *testing.T) {
+			t.Parallel()
+			for i, bursts := range faultCases() {
+				if i%shards != shard {
+					continue
+				}
+				runFaultCase(t, bursts, time.Minute)
+				if hasLate(bursts) {
+					runFaultCase(t, bursts, soon)
+				}
 			}
-			t.Run(fmt.Sprint(lateBy, bursts), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) { submitUnderFaults(t, bursts, lateBy) })
-			})
-		}
+		})
 	}
 }
 
+func runFaultCase(t *testing.T, bursts []burst, lateBy time.Duration) {
+	t.Run(fmt.Sprint(lateBy, bursts), func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) { submitUnderFaults(t, bursts, lateBy) })
+	})
+}
+
 func hasLate(bursts []burst) bool {
-	return slices.ContainsFunc(bursts, func(b burst) bool { return b.fault == platform.Late })
+	return slices.ContainsFunc(bursts, func(b burst) bool { return b.fault == platform.Late || b.fault == platform.Stall })
 }
 
 func submitUnderFaults(t *testing.T, bursts []burst, lateBy time.Duration) {
@@ -213,3 +224,25 @@
 		is.Equal(errkind.Of(err), errkind.Stale)
 	})
 }
+
+// TestNameIsFreeAfterRemoval checks that a name can be given to a new service
+// with an ID and an address of its own, and that the old ID cannot come back.
+func TestNameIsFreeAfterRemoval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		submitter := newSubmitter(platform.New(nil))
+		heir := specOf(9, 5)
+		heir.Name = "service-1"
+		for _, next := range []Ticket{
+			ticketOf("create", specOf(1, 5)),
+			{ID: "remove", Submitter: "ayse", Removed: []string{"service-1"}},
+			ticketOf("heir", heir),
+		} {
+			_, err := submitter.Submit(t.Context(), next)
+			is.NoErr(err)
+		}
+		_, err := submitter.Submit(t.Context(), ticketOf("back", specOf(1, 5)))
+		is.Equal(errkind.Of(err), errkind.Invalid)
+		is.Equal(audit(submitter), nil)
+	})
+}
