--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -123,7 +123,7 @@
 	x.answer = &answer{response: response, body: body}
 	x.learnLife(peer, response)
 	event = x.readOutcome(a, response)
-	if event.Kind == request.AnswerStarted || x.forward && event.Kind != request.PeerLost {
+	if event.Kind == request.AnswerStarted || x.isGranterProblem(event) {
 		return event, false
 	}
 	again = response.Header.Get(relayLifeMissingField) != "" && x.grant.Executor == (idempotency.Life{})
@@ -131,6 +131,12 @@
 	return event, again
 }
 
+// isGranterProblem reports whether e is the word of the key's granting agent
+// that the caller gets as it is.
+func (x *exchange) isGranterProblem(e request.Event) bool {
+	return x.forward && (e.Kind == request.PeerRefused || e.Kind == request.PeerUnknown)
+}
+
 // relayBody returns the body of one relayed request. A grant that only asks
 // for the peer's process life carries none, because nothing runs under it.
 func (x *exchange) relayBody() *attemptBody {
@@ -170,6 +176,9 @@
 	case OutcomeRun:
 		return x.answerStarted()
 	case OutcomeNotRun:
+		if !x.knowsRequest(response) {
+			return request.Event{Kind: request.PeerUnreached}
+		}
 		wait, _ := parseMillis(response.Header.Get(relayRetryMsField))
 		return request.Event{
 			Kind:       request.PeerRefused,
@@ -189,6 +198,22 @@
 	}
 }
 
+// knowsRequest reports whether a refusal comes from the process life that the
+// key or the grant names. Another one can only tell that this ask did not run.
+func (x *exchange) knowsRequest(response *http.Response) bool {
+	life, err := idempotency.ParseLife(response.Header.Get(relayLifeField))
+	switch {
+	case x.repeatable:
+		return true
+	case err != nil:
+		return false
+	case x.forward:
+		return life.Incarnation == x.key.Incarnation
+	default:
+		return life.Incarnation == x.grant.Executor.Incarnation
+	}
+}
+
 // answerStarted stops the clock: the deadline bounds the start of the answer.
 func (x *exchange) answerStarted() request.Event {
 	if !x.timer.Stop() {
