--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -20,6 +20,7 @@
 	Flows    flowsCmd    `cmd:"" help:"Measure what flows and requests cost an agent and its balancers."`
 	Latency  latencyCmd  `cmd:"" help:"Compare request times with a direct HTTP/3 call."`
 	Slopes   slopesCmd   `cmd:"" help:"Measure how control grows with the number of nodes."`
+	Spread   spreadCmd   `cmd:"" help:"Compare policies that spread work over backend servers."`
 	State    stateCmd    `cmd:"" help:"Measure what one balancer holds at the design size."`
 }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -36,6 +36,7 @@
 	"github.com/almondledge/almondledge/internal/pki"
 	"github.com/almondledge/almondledge/internal/service"
 	"github.com/almondledge/almondledge/internal/settings"
+	"github.com/almondledge/almondledge/internal/spread"
 	"github.com/almondledge/almondledge/internal/store/etcd"
 	"github.com/almondledge/almondledge/internal/stream"
 	"github.com/almondledge/almondledge/internal/telemetry"
@@ -260,7 +261,7 @@
 	a.link = &link{
 		self: a.settings.Address, socket: socket, sealer: a.keys.Sealer, opener: a.keys.Opener, codec: a.keys.Codec,
 		conn: conn, metrics: counters, refused: refused, markKeyUsed: a.keys.MarkUsed, willing: a.willing, handleControl: a.handleControl,
-		openings: opening.NewTable(a.settings.Address),
+		openings: opening.NewTable(a.settings.Address), load: spread.NewTracker(time.Now()), flowShare: a.flowShare,
 	}
 	certificate, err := callerCertificate(a.settings)
 	if err != nil {
@@ -316,7 +317,7 @@
 		Draining: a.draining.Load,
 		Keys:     a.keys.Idempotency,
 		Now:      time.Now, Rand: mathrand.Float64, Metrics: a.metrics, Log: a.log, Dial: a.network.DialTCP,
-		OnLoad: func(load uint8) { a.driver.SetLoad(load) },
+		OnLoad: a.onLoad,
 	}
 	_, _ = rand.Read(config.NoncePrefix[:]) // never fails
 	return gateway.New(config)
--- a/internal/agent/link_test.go
+++ b/internal/agent/link_test.go
@@ -13,6 +13,7 @@
 	"github.com/almondledge/almondledge/internal/connid"
 	"github.com/almondledge/almondledge/internal/envelope"
 	"github.com/almondledge/almondledge/internal/opening"
+	"github.com/almondledge/almondledge/internal/spread"
 )
 
 var (
@@ -34,6 +35,7 @@
 	return &link{
 		self: selfAddr, codec: codec, conn: conn, metrics: counters, refused: newRefusals(),
 		markKeyUsed: func(uint8, time.Time) {}, willing: func() bool { return true }, openings: opening.NewTable(selfAddr),
+		load: spread.NewTracker(time.Now()), flowShare: func(int) float64 { return 0.5 },
 	}
 }
 
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -71,6 +71,7 @@
 		Peers:      len(x.peers),
 		Deadline:   x.deadline,
 	}
+	route.AskPeer = !route.PeersFirst && x.asksPeer()
 	if !x.repeatable {
 		route.Reasks = maxReasks
 	}
--- a/internal/gateway/clock_test.go
+++ b/internal/gateway/clock_test.go
@@ -135,12 +135,18 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		told := make(map[string]int)
+		asks := 0
 		answer := func(r *http.Request) (*http.Response, error) {
 			millis, err := strconv.Atoi(r.Header.Get(DeadlineField))
 			is.NoErr(err)
 			told[r.URL.Host] = millis
-			time.Sleep(300 * time.Millisecond)
 			h := http.Header{OutcomeField: {string(OutcomeRun)}}
+			if r.Header.Get(relayFreeSlotField) != "" {
+				asks++
+				h.Set(OutcomeField, string(OutcomeNotRun)) // the peer has no free slot
+			} else {
+				time.Sleep(300 * time.Millisecond)
+			}
 			return &http.Response{StatusCode: http.StatusOK, Header: h, Body: io.NopCloser(strings.NewReader("")), Request: r}, nil
 		}
 		peer := member.Member{Addr: netip.MustParseAddrPort("127.0.1.2:9000"), Kind: member.Agent, State: member.Serving, Service: 7}
@@ -154,6 +160,9 @@
 		synctest.Wait()
 		serve() // waits 300 ms in the queue
 		is.Equal(told["127.0.0.1:1"], 700)
+		is.Equal(told["127.0.0.1:2"], 990)
+		is.Equal(asks, 1)
+		delete(told, "127.0.0.1:2")
 		g.Drain()
 		serve()
 		is.Equal(told["127.0.0.1:2"], 990)
--- a/internal/gateway/fields.go
+++ b/internal/gateway/fields.go
@@ -29,6 +29,8 @@
 	relayCallerField  = "Almondledge-Relay-Caller"
 	relayKeyField     = "Almondledge-Relay-Key"
 	relayGrantField   = "Almondledge-Relay-Grant"
+	// relayFreeSlotField asks to run the request at once or to refuse it.
+	relayFreeSlotField = "Almondledge-Relay-Free-Slot"
 	// relayLifeField tells in an answer the life that grants for the agent must name.
 	relayLifeField = "Almondledge-Relay-Life"
 	// relayLifeMissingField says in an answer that the grant named no life.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/almondledge/almondledge/internal/request"
 	"github.com/almondledge/almondledge/internal/retry"
 	"github.com/almondledge/almondledge/internal/service"
+	"github.com/almondledge/almondledge/internal/spread"
 )
 
 // Bounds of one request.
@@ -116,6 +117,7 @@
 	budget  *retry.Budget
 	issuer  *idempotency.Issuer
 	records *request.Records
+	asking  *spread.Asking
 }
 
 // New returns a Gateway.
@@ -137,6 +139,7 @@
 		budget:  retry.NewBudget(retryShare),
 		issuer:  idempotency.NewIssuer(cfg.Addr, cfg.Incarnation, cfg.NoncePrefix),
 		records: request.NewRecords(cfg.Addr, cfg.Incarnation),
+		asking:  spread.NewAsking(),
 	}
 	return g, nil
 }
--- a/internal/request/machine.go
+++ b/internal/request/machine.go
@@ -33,6 +33,11 @@
 // New returns the machine of a request that was just received and its first action.
 func New(route Route, budget *retry.Budget) (*Machine, Action) {
 	m := &Machine{route: route, budget: budget, state: Received}
+	if m.asks() {
+		ask := m.elsewhere()
+		ask.FreeSlotOnly = true
+		return m, ask
+	}
 	if route.Local && (!route.PeersFirst || route.Peers == 0) {
 		return m, Action{Kind: Admit}
 	}
@@ -149,9 +154,17 @@
 	if e.BodySpent {
 		return m.refuse(causeOf(e))
 	}
+	if m.asks() && m.attempt == 1 {
+		return Action{Kind: Admit} // the peer has no free slot, so the request waits here
+	}
 	return m.afterRefusal(now, e)
 }
 
+// asks reports whether the first attempt asks a peer for a free slot.
+func (m *Machine) asks() bool {
+	return m.route.AskPeer && m.route.Peers > 0
+}
+
 // lost handles a sent attempt without an answer. A peer that deduplicates may
 // be asked again for the same attempt.
 func (m *Machine) lost(now time.Time, e Event) Action {
@@ -193,7 +206,7 @@
 		return m.stop(CauseDeadline)
 	}
 	// Looking for room elsewhere costs work while all are busy, so it is budgeted.
-	if e.Overloaded && !m.budget.Take(now) {
+	if e.Overloaded && m.peer < m.route.Peers && !m.budget.Take(now) {
 		return m.refuse(causeOf(e))
 	}
 	return m.elsewhere()
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -120,6 +120,9 @@
 	Attempt int
 	// Peer is the index of the peer of a Relay.
 	Peer int
+	// FreeSlotOnly marks a Relay that the peer must refuse at once if the request
+	// would wait there.
+	FreeSlotOnly bool
 	// Retry marks another attempt after one that may have run.
 	Retry bool
 	// Reask marks a Relay that asks the same peer again for an attempt that it deduplicates.
@@ -141,6 +144,8 @@
 	// PeersFirst sends the request to a peer when there is one, because the agent
 	// is draining or its backend server is broken.
 	PeersFirst bool
+	// AskPeer asks the first peer for a free slot before the request waits here.
+	AskPeer bool
 	// Draining keeps the request from the local backend server once a peer was reached.
 	Draining bool
 	// Peers is the number of peers that may be tried, in order.
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -21,6 +21,7 @@
 	local := Route{Local: true, Deadline: now.Add(time.Second)}
 	with := func(change func(*Route)) Route { r := local; change(&r); return r }
 	repeatable := with(func(r *Route) { r.Repeatable, r.Peers = true, 1 })
+	asking := with(func(r *Route) { r.Repeatable, r.AskPeer, r.Peers = true, true, 2 })
 	cases := []struct {
 		name  string
 		route Route
@@ -57,6 +58,13 @@
 			[]step{{PeerUnreached, 1, AnswerUnknown}}},
 		{"granter refused", Route{PeerDecides: true, Peers: 1, Deadline: local.Deadline}, Relay,
 			[]step{{PeerRefused, 1, RefuseNotRun}}},
+		{"asked peer runs it", asking, Relay, []step{{AnswerStarted, 1, PassAnswer}, {AnswerEnded, 1, Finish}}},
+		{"asked peer has no free slot", asking, Relay,
+			[]step{{PeerRefused, 1, Admit}, {Enqueued, 0, None}, {Admitted, 0, Dispatch}, {AnswerStarted, 2, PassAnswer}}},
+		{"asked peer has no free slot, no room here", asking, Relay,
+			[]step{{PeerRefused, 1, Admit}, {Refused, 0, Relay}, {PeerRefused, 2, RefuseNotRun}}},
+		{"asked peer not reached", asking, Relay, []step{{PeerUnreached, 1, Admit}}},
+		{"asked peer lost", asking, Relay, []step{{PeerLost, 1, Relay}, {PeerRefused, 2, Admit}, {Refused, 0, AnswerUnknown}}},
 		{"granter not known", Route{PeerDecides: true, Deadline: local.Deadline}, AnswerUnknown, nil},
 	}
 	for _, c := range cases {
