--- /dev/null
+++ b/internal/agent/admin.go
@@ -0,0 +1,99 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/adminapi"
+	"github.com/almondledge/almondledge/internal/administration"
+	"github.com/almondledge/almondledge/internal/announce"
+	"github.com/almondledge/almondledge/internal/errkind"
+)
+
+// serveAdmin serves the administration API until ctx ends.
+func (a *Agent) serveAdmin(ctx context.Context) error {
+	listener, err := a.network.ListenTCP(a.settings.Admin)
+	if err != nil {
+		return err
+	}
+	handler := adminapi.NewHandler(adminapi.Options{
+		Instance:      administration.Instance(a.settings.Common),
+		Token:         string(a.settings.AdminToken),
+		Ready:         a.Ready,
+		Configuration: administration.Configuration{Driver: a.driver},
+		Members:       a.driver,
+		Drainer:       a,
+		Telemetry:     a.process,
+		Logger:        a.log,
+	})
+	return adminapi.Serve(ctx, listener, adminapi.TLSConfig(listener.Addr(), a.identity), handler, a.log)
+}
+
+// serveHealth serves metrics, health and readiness on the administration
+// address until the returned function is called, which waits until the address
+// is free: an agent that waits for its backend server or its service has to say so.
+func (a *Agent) serveHealth(ctx context.Context) (func(), error) {
+	listener, err := a.network.ListenTCP(a.settings.Admin)
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	a.process.Register(mux, func(http.Handler) http.Handler { return http.NotFoundHandler() })
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := adminapi.Serve(ctx, listener, adminapi.TLSConfig(listener.Addr(), a.identity), mux, a.log); err != nil {
+			a.log.WithError(err).Error("health server failed")
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}, nil
+}
+
+// Drain takes the backend server out of service until the process ends. A drain
+// that must outlast the process is a change ticket.
+func (a *Agent) Drain(submitter string) error {
+	if !a.drained.Swap(true) {
+		a.log.WithField("submitter", submitter).Info("drain ordered")
+	}
+	return nil
+}
+
+// Ready returns nil when the agent takes new flows, or the reason why not.
+func (a *Agent) Ready() error {
+	if !a.serving.Load() {
+		return errkind.New(errkind.Unavailable, "the agent takes no new flows",
+			"see the log: it waits for its backend server or its service, or it drains")
+	}
+	return nil
+}
+
+// Revision returns the store revision of the configuration in force.
+func (a *Agent) Revision() int64 {
+	return a.driver.Catalog().Revision()
+}
+
+// startAnnounce serves announcements of the backend server, if the settings ask for it.
+func (a *Agent) startAnnounce() (*http.Server, error) {
+	mux := http.NewServeMux()
+	mux.Handle(announce.Path, a.registry)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, ReadTimeout: time.Second}
+	if !a.settings.Announce.IsValid() {
+		return server, nil
+	}
+	listener, err := a.network.ListenTCP(a.settings.Announce)
+	if err != nil {
+		return nil, err
+	}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			a.log.WithError(err).Error("announce server failed")
+		}
+	}()
+	return server, nil
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -4,11 +4,8 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"crypto/tls"
 	"errors"
-	"fmt"
-	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -18,25 +15,18 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
-	"github.com/quic-go/quic-go"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/almondledge/almondledge/internal/adminapi"
-	"github.com/almondledge/almondledge/internal/administration"
 	"github.com/almondledge/almondledge/internal/announce"
 	"github.com/almondledge/almondledge/internal/control"
 	"github.com/almondledge/almondledge/internal/controlplane"
 	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/gateway"
-	"github.com/almondledge/almondledge/internal/logging"
-	"github.com/almondledge/almondledge/internal/member"
 	"github.com/almondledge/almondledge/internal/network"
-	"github.com/almondledge/almondledge/internal/opening"
 	"github.com/almondledge/almondledge/internal/packetkeys"
 	"github.com/almondledge/almondledge/internal/pki"
 	"github.com/almondledge/almondledge/internal/service"
 	"github.com/almondledge/almondledge/internal/settings"
-	"github.com/almondledge/almondledge/internal/spread"
 	"github.com/almondledge/almondledge/internal/store/etcd"
 	"github.com/almondledge/almondledge/internal/stream"
 	"github.com/almondledge/almondledge/internal/telemetry"
@@ -153,11 +143,6 @@
 	}), nil
 }
 
-// Revision returns the store revision of the configuration in force.
-func (a *Agent) Revision() int64 {
-	return a.driver.Catalog().Revision()
-}
-
 // Reload puts the packet keys and certificates of new settings in force, for
 // flows and connections that begin from now on.
 func (a *Agent) Reload(config settings.Agent) error {
@@ -190,14 +175,6 @@
 	return a.callerCertificate.Load(), nil
 }
 
-// Ready returns nil when the agent takes new flows, or the reason why not.
-func (a *Agent) Ready() error {
-	if !a.serving.Load() {
-		return errkind.New(errkind.Unavailable, "the agent takes no new flows", "see the state in the log; a draining agent stays so")
-	}
-	return nil
-}
-
 // Run serves until ctx ends, which ends all flows at once, or until drain ends
 // and all flows have ended after it.
 func (a *Agent) Run(ctx, drain context.Context) error {
@@ -206,7 +183,12 @@
 		return err
 	}
 	defer announceServer.Close()
+	stopHealth, err := a.serveHealth(ctx)
+	if err != nil {
+		return err
+	}
 	spec, err := a.awaitService(ctx, drain)
+	stopHealth()
 	if ctx.Err() != nil || drain.Err() != nil {
 		return nil
 	}
@@ -219,110 +201,6 @@
 	return a.serve(ctx, drain)
 }
 
-// startAnnounce serves announcements of the backend server, if the settings ask for it.
-func (a *Agent) startAnnounce() (*http.Server, error) {
-	mux := http.NewServeMux()
-	mux.Handle(announce.Path, a.registry)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, ReadTimeout: time.Second}
-	if !a.settings.Announce.IsValid() {
-		return server, nil
-	}
-	listener, err := a.network.ListenTCP(a.settings.Announce)
-	if err != nil {
-		return nil, err
-	}
-	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			a.log.WithError(err).Error("announce server failed")
-		}
-	}()
-	return server, nil
-}
-
-// assemble builds the parts of the agent around its service.
-func (a *Agent) assemble(spec service.Spec) error {
-	a.serviceID = spec.ID
-	a.spec.Store(&spec)
-	last, _ := a.registry.Last(time.Now())
-	socket, err := a.network.ListenUDP(a.settings.Address)
-	if err != nil {
-		return err
-	}
-	counters := NewMetrics(a.metrics)
-	incarnation := uint64(time.Now().UnixNano())
-	a.driver = a.newDriver(last, incarnation)
-	a.driver.Register(a.metrics)
-	if a.gateway, err = a.newGateway(last, incarnation); err != nil {
-		return err
-	}
-	conn := newPacketConn(socket, a.keys.Sealer, a.driver.ReplyTargets, counters)
-	conn.route.Store(&serviceRoute{id: spec.ID, front: spec.Address})
-	refused := newRefusals()
-	a.link = &link{
-		self: a.settings.Address, socket: socket, sealer: a.keys.Sealer, opener: a.keys.Opener, codec: a.keys.Codec,
-		conn: conn, metrics: counters, refused: refused, markKeyUsed: a.keys.MarkUsed, willing: a.willing, handleControl: a.handleControl,
-		openings: opening.NewTable(a.settings.Address), load: spread.NewTracker(time.Now()), flowShare: a.flowShare,
-	}
-	certificate, err := callerCertificate(a.settings)
-	if err != nil {
-		return err
-	}
-	a.callerCertificate.Store(certificate)
-	a.endpoint, err = newEndpoint(endpointConfig{
-		conn: conn, codec: a.keys.Codec, self: a.settings.Address,
-		resetKey: quic.StatelessResetKey(a.keys.StatelessReset()),
-		tokenKey: quic.TokenGeneratorKey(a.keys.AddressToken()),
-		tls:      &tls.Config{GetCertificate: a.getCertificate, MinVersion: tls.VersionTLS13},
-		handler:  a.gateway, refused: refused, metrics: counters,
-	})
-	if err != nil {
-		return err
-	}
-	a.metrics.NewGauge("almondledge_open_flows", func() float64 { return float64(a.endpoint.flows.Load()) })
-	a.streams = stream.NewServer(stream.Options{
-		Identity: a.identity,
-		Sync:     a.serveSync,
-		Relay:    a.gateway.PeerHandler(),
-		ErrorLog: logging.Standard(a.log, "relay server"),
-		Observer: stream.NewRecorder(a.metrics, logging.NewLimited(a.log, refusalLogInterval)),
-	})
-	return nil
-}
-
-func (a *Agent) newDriver(last announce.Announcement, incarnation uint64) *controlplane.Driver {
-	self := member.Member{
-		Addr: a.settings.Address, Stream: a.settings.Stream, Kind: member.Agent, State: member.Warming,
-		Incarnation: incarnation, DataCentre: a.settings.DataCentre, Service: a.serviceID, Capacity: uint16(last.Capacity),
-	}
-	return controlplane.New(controlplane.Options{
-		Node: control.Config{
-			Self: self, Seeds: a.contacts, BytesPerSecond: a.settings.ControlBytesPerSecond,
-			Rand: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())),
-		},
-		Log:      a.log,
-		Send:     func(to netip.AddrPort, payload []byte) error { return a.link.sendControl(to, payload) },
-		Dial:     a.dialer.DialSync,
-		OnNotice: a.onNotice,
-	})
-}
-
-func (a *Agent) newGateway(last announce.Announcement, incarnation uint64) (*gateway.Gateway, error) {
-	config := gateway.Config{
-		Addr: a.settings.Address, Incarnation: incarnation, DataCentre: a.settings.DataCentre,
-		Spec:     func() service.Spec { return *a.spec.Load() },
-		Backend:  &url.URL{Scheme: "http", Host: fmt.Sprintf("127.0.0.1:%d", last.Port)},
-		Peers:    func() []member.Member { return a.driver.Peers() },
-		PeerURL:  func(m member.Member) string { return "https://" + m.Stream.String() },
-		Relay:    a.dialer.RoundTripper(),
-		Draining: a.draining.Load,
-		Keys:     a.keys.Idempotency,
-		Now:      time.Now, Rand: mathrand.Float64, Metrics: a.metrics, Log: a.log, Dial: a.network.DialTCP,
-		OnLoad: a.onLoad,
-	}
-	_, _ = rand.Read(config.NoncePrefix[:]) // never fails
-	return gateway.New(config)
-}
-
 func (a *Agent) serveSync(_ context.Context, conn net.Conn) {
 	if err := a.driver.ServeConn(conn); err != nil {
 		a.log.WithError(err).Debug("state transfer ended")
@@ -386,34 +264,6 @@
 	return group.Wait()
 }
 
-// serveAdmin serves the administration API until ctx ends.
-func (a *Agent) serveAdmin(ctx context.Context) error {
-	listener, err := a.network.ListenTCP(a.settings.Admin)
-	if err != nil {
-		return err
-	}
-	handler := adminapi.NewHandler(adminapi.Options{
-		Instance:      administration.Instance(a.settings.Common),
-		Token:         string(a.settings.AdminToken),
-		Ready:         a.Ready,
-		Configuration: administration.Configuration{Driver: a.driver},
-		Members:       a.driver,
-		Drainer:       a,
-		Telemetry:     a.process,
-		Logger:        a.log,
-	})
-	return adminapi.Serve(ctx, listener, adminapi.TLSConfig(listener.Addr(), a.identity), handler, a.log)
-}
-
-// Drain takes the backend server out of service until the process ends. A drain
-// that must outlast the process is a change ticket.
-func (a *Agent) Drain(submitter string) error {
-	if !a.drained.Swap(true) {
-		a.log.WithField("submitter", submitter).Info("drain ordered")
-	}
-	return nil
-}
-
 // closeAll ends everything that still runs.
 func (a *Agent) closeAll() error {
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/internal/balancer/admin.go
@@ -0,0 +1,72 @@
+package balancer
+
+import (
+	"context"
+
+	"github.com/almondledge/almondledge/internal/adminapi"
+	"github.com/almondledge/almondledge/internal/administration"
+	"github.com/almondledge/almondledge/internal/catalog"
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/roster"
+	"github.com/almondledge/almondledge/internal/store"
+	"github.com/almondledge/almondledge/internal/ticket"
+)
+
+// Ready returns nil when the balancer can route, or the reason why not.
+func (b *Balancer) Ready() error {
+	if b.stopping.Load() {
+		return errkind.New(errkind.Unavailable, "the balancer is stopping", "none; another balancer takes its packets")
+	}
+	if !b.driver.Ready() && b.driver.Catalog().Revision() > 0 {
+		return errkind.New(errkind.Unavailable, "the balancer has not met the other balancers yet",
+			"check the peers in the settings; after some seconds without an answer it goes on alone")
+	}
+	if !b.driver.Ready() {
+		return errkind.New(errkind.Unavailable, "the balancer has no configuration yet", "check that the store or a peer can be reached")
+	}
+	return nil
+}
+
+// serveAdmin serves the administration API until ctx ends.
+func (b *Balancer) serveAdmin(ctx context.Context) error {
+	listener, err := b.network.ListenTCP(b.settings.Admin)
+	if err != nil {
+		return err
+	}
+	handler := adminapi.NewHandler(adminapi.Options{
+		Instance:      administration.Instance(b.settings.Common),
+		Token:         string(b.settings.AdminToken),
+		Ready:         b.Ready,
+		Configuration: administration.Configuration{Driver: b.driver},
+		Members:       b.driver,
+		Tickets:       administration.NewTickets(b.store),
+		Telemetry:     b.telemetry,
+		Logger:        b.log,
+	})
+	return adminapi.Serve(ctx, listener, adminapi.TLSConfig(listener.Addr(), b.identity), handler, b.log)
+}
+
+// followRoster adds the balancers of the roster to the first contacts, and keeps
+// this balancer in the roster while there is a place. Without the store the
+// settings suffice.
+func (b *Balancer) followRoster(ctx context.Context) {
+	contacts, err := roster.Contacts(ctx, b.store, b.settings.DataCentre, b.settings.Peers)
+	if err != nil {
+		b.log.WithError(err).Warn("roster not read; the peers of the settings are used")
+	}
+	b.driver.AddSeeds(contacts)
+	roster.Run(ctx, roster.Config{Store: b.store, DataCentre: b.settings.DataCentre, Self: b.settings.Address, Log: b.log})
+}
+
+// decodeEvent turns an event of the store into a catalog entry.
+func decodeEvent(event store.Event) (catalog.Entry, bool, error) {
+	states, err := ticket.DecodeEvents([]store.Event{event})
+	if err != nil || len(states) == 0 {
+		return catalog.Entry{}, false, err
+	}
+	entry := catalog.Entry{ID: states[0].ID, ModRevision: states[0].Revision, Removed: states[0].Spec == nil}
+	if states[0].Spec != nil {
+		entry.Spec = *states[0].Spec
+	}
+	return entry, true, nil
+}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -13,19 +13,14 @@
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/almondledge/almondledge/internal/adminapi"
-	"github.com/almondledge/almondledge/internal/administration"
-	"github.com/almondledge/almondledge/internal/catalog"
 	"github.com/almondledge/almondledge/internal/control"
 	"github.com/almondledge/almondledge/internal/controlplane"
 	"github.com/almondledge/almondledge/internal/envelope"
-	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/logging"
 	"github.com/almondledge/almondledge/internal/member"
 	"github.com/almondledge/almondledge/internal/network"
 	"github.com/almondledge/almondledge/internal/packetkeys"
 	"github.com/almondledge/almondledge/internal/pki"
-	"github.com/almondledge/almondledge/internal/roster"
 	"github.com/almondledge/almondledge/internal/service"
 	"github.com/almondledge/almondledge/internal/settings"
 	"github.com/almondledge/almondledge/internal/store"
@@ -179,21 +174,6 @@
 	return b.identity.Replace(config.TLS.CA, pair)
 }
 
-// Ready returns nil when the balancer can route, or the reason why not.
-func (b *Balancer) Ready() error {
-	if b.stopping.Load() {
-		return errkind.New(errkind.Unavailable, "the balancer is stopping", "none; another balancer takes its packets")
-	}
-	if !b.driver.Ready() && b.driver.Catalog().Revision() > 0 {
-		return errkind.New(errkind.Unavailable, "the balancer has not met the other balancers yet",
-			"check the peers in the settings; after some seconds without an answer it goes on alone")
-	}
-	if !b.driver.Ready() {
-		return errkind.New(errkind.Unavailable, "the balancer has no configuration yet", "check that the store or a peer can be reached")
-	}
-	return nil
-}
-
 // Run serves until ctx ends, which stops at once, or until drain ends and no
 // packet arrives any more.
 func (b *Balancer) Run(ctx, drain context.Context) error {
@@ -225,37 +205,6 @@
 	return group.Wait()
 }
 
-// followRoster adds the balancers of the roster to the first contacts, and keeps
-// this balancer in the roster while there is a place. Without the store the
-// settings suffice.
-func (b *Balancer) followRoster(ctx context.Context) {
-	contacts, err := roster.Contacts(ctx, b.store, b.settings.DataCentre, b.settings.Peers)
-	if err != nil {
-		b.log.WithError(err).Warn("roster not read; the peers of the settings are used")
-	}
-	b.driver.AddSeeds(contacts)
-	roster.Run(ctx, roster.Config{Store: b.store, DataCentre: b.settings.DataCentre, Self: b.settings.Address, Log: b.log})
-}
-
-// serveAdmin serves the administration API until ctx ends.
-func (b *Balancer) serveAdmin(ctx context.Context) error {
-	listener, err := b.network.ListenTCP(b.settings.Admin)
-	if err != nil {
-		return err
-	}
-	handler := adminapi.NewHandler(adminapi.Options{
-		Instance:      administration.Instance(b.settings.Common),
-		Token:         string(b.settings.AdminToken),
-		Ready:         b.Ready,
-		Configuration: administration.Configuration{Driver: b.driver},
-		Members:       b.driver,
-		Tickets:       administration.NewTickets(b.store),
-		Telemetry:     b.telemetry,
-		Logger:        b.log,
-	})
-	return adminapi.Serve(ctx, listener, adminapi.TLSConfig(listener.Addr(), b.identity), handler, b.log)
-}
-
 func ignoreCanceled(err error) error {
 	if errors.Is(err, context.Canceled) {
 		return nil
@@ -263,19 +212,6 @@
 	return err
 }
 
-// decodeEvent turns an event of the store into a catalog entry.
-func decodeEvent(event store.Event) (catalog.Entry, bool, error) {
-	states, err := ticket.DecodeEvents([]store.Event{event})
-	if err != nil || len(states) == 0 {
-		return catalog.Entry{}, false, err
-	}
-	entry := catalog.Entry{ID: states[0].ID, ModRevision: states[0].Revision, Removed: states[0].Spec == nil}
-	if states[0].Spec != nil {
-		entry.Spec = *states[0].Spec
-	}
-	return entry, true, nil
-}
-
 // leaveWhenQuiet returns when ctx ends, or when drain has ended and no packet
 // arrived for a while after it.
 func (b *Balancer) leaveWhenQuiet(ctx, drain context.Context) {
