--- a/internal/lab/faults/run.go
+++ b/internal/lab/faults/run.go
@@ -83,7 +83,7 @@
 		defer close(driven)
 		session.Drive(driveCtx)
 	}()
-	report := &Report{Seed: cfg.Seed}
+	report := &Report{Seed: cfg.Seed, Violations: []string{}}
 	rng := rand.New(rand.NewPCG(cfg.Seed, cfg.Seed))
 	r := &runner{cfg: cfg, session: session, rng: rng, report: report, used: make(map[*deploy.Process]int)}
 	r.step(ctx, "calm", true, calmTime, nil)
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -74,10 +74,11 @@
 // Finish closes all flows and returns the report.
 func (s *Session) Finish(ctx context.Context) (*Report, error) {
 	report := &Report{
-		Started: s.start,
-		Seconds: s.run.cfg.Duration.Seconds(),
-		Seed:    s.run.cfg.Seed,
-		Roles:   roleUses(s.run.cfg.Metrics, s.before, scrapeAll(ctx, s.run.cfg.Metrics)),
+		Started:    s.start,
+		Seconds:    s.run.cfg.Duration.Seconds(),
+		Seed:       s.run.cfg.Seed,
+		Violations: []string{},
+		Roles:      roleUses(s.run.cfg.Metrics, s.before, scrapeAll(ctx, s.run.cfg.Metrics)),
 	}
 	var all []backend.Run
 	for _, path := range s.run.cfg.Ledgers {
