Agents stop replying through a balancer that leaves

A test found agents replying through it, because its answers to announcements keep it in the reply set while there are few others. Ruled out: the balancer ignoring replies when it decides that it is quiet (it would cut them). Change: the answer says that the balancer is leaving; the agent then does not reply through it.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -159,6 +159,11 @@
 	return b.driver
 }
 
+// Packets returns the number of packets forwarded in both directions.
+func (b *Balancer) Packets() uint64 {
+	return b.forwarder.Packets()
+}
+
 // Store returns the client of the platform's store.
 func (b *Balancer) Store() store.Store {
 	return b.store
--- a/internal/control/agent.go
+++ b/internal/control/agent.go
@@ -150,6 +150,7 @@
 	}
 	a.learnContest(now, m.Contested)
 	t.lastAck = now
+	t.leaving = m.Leaving
 	t.attempts = 0
 	t.acked = max(t.acked, m.Sequence)
 	for _, addr := range m.Balancers {
--- a/internal/control/agent_targets.go
+++ b/internal/control/agent_targets.go
@@ -11,6 +11,8 @@
 	addr    netip.AddrPort
 	added   time.Time
 	lastAck time.Time
+	// leaving reports that the balancer is about to stop.
+	leaving bool
 	// attempts counts the announcements since the last answer.
 	attempts int
 	// nextTry is the earliest time to repeat an unanswered announcement.
@@ -124,12 +126,12 @@
 	}
 }
 
-// replyTargets returns the balancers that answered lately, or the last known
-// set when none did.
+// replyTargets returns the balancers that answered lately and are not leaving,
+// or the last known set when there is none.
 func (a *agent) replyTargets(now time.Time) []netip.AddrPort {
 	var set []netip.AddrPort
 	for _, t := range a.targets {
-		if !t.lastAck.IsZero() && now.Sub(t.lastAck) < a.n.cfg.Timing.AckTimeout {
+		if !t.leaving && !t.lastAck.IsZero() && now.Sub(t.lastAck) < a.n.cfg.Timing.AckTimeout {
 			set = append(set, t.addr)
 		}
 	}
--- a/internal/control/balancer.go
+++ b/internal/control/balancer.go
@@ -174,6 +174,7 @@
 		ack.Contested = memberList{b.table.Get(to).Member}
 	}
 	leaving := !b.n.self.State.TakesNewFlows() // the agent must find others soon
+	ack.Leaving = leaving
 	if contested || leaving || m.First || m.Sequence%fullAckEvery == 1 {
 		ack.Owners = b.owners(to, self.DataCentre)
 	}
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -67,6 +67,9 @@
 	Balancers addrList
 	// Peers is a sample of willing agents of the same service.
 	Peers memberList
+	// Leaving reports that the balancer is about to stop: the agent must not
+	// reply through it.
+	Leaving bool
 }
 
 // Ping asks a member to answer at once.
