Replies change their balancer at a probe timeout

Ruled out: silence of the caller as the sign (tried here: sheets gained, polls did not, because the caller's own retries arrive at the agent; reverted); changing the balancer every 200 ms (reordering). Change: quic-go's probe timeout events of a flow give its caller another first choice of balancer; the matrix plays a balancer cut from the fabric.

--- a/internal/agent/endpoint.go
+++ b/internal/agent/endpoint.go
@@ -116,6 +116,7 @@
 		MaxIdleTimeout:          idleTimeout,
 		MaxIncomingStreams:      maxStreams,
 		Allow0RTT:               false, // 0-RTT data can be replayed
+		Tracer:                  tracer(config.conn.replies),
 	}
 	listener, err := end.transport.Listen(http3.ConfigureTLSConfig(config.tls), quicConfig)
 	if err != nil {
@@ -132,6 +133,9 @@
 	if ok && e.refused.take(udp.AddrPort(), time.Now()) {
 		return nil, errFlowRefused
 	}
+	if ok {
+		ctx = context.WithValue(ctx, callerKey{}, udp.AddrPort())
+	}
 	e.flows.Add(1)
 	e.metrics.flows.Inc()
 	context.AfterFunc(ctx, func() { e.flows.Add(-1) })
--- a/internal/faultmatrix/faults_test.go
+++ b/internal/faultmatrix/faults_test.go
@@ -42,6 +42,13 @@
 	}},
 	{name: "balancer frozen and woken", strike: func(f *fleet, _ int) { f.freeze(f.balancerAt[1]) }},
 	{name: "balancer joins", strike: func(f *fleet, _ int) { f.joinBalancer() }},
+	{name: "balancer cut from the fabric", strike: func(f *fleet, _ int) {
+		// Its peers and agents find it healthy, but callers get no answer through it.
+		mute := balancerHost(1)
+		f.links(func(from, to netip.Addr) memnet.Link {
+			return memnet.Link{Delay: linkDelay, Cut: from == mute && to == fabricAddr.Addr()}
+		})
+	}},
 	{name: "balancer leaves", strike: func(f *fleet, _ int) { f.leaveBalancer(2) }},
 	{name: "agent killed", loses: true, strike: func(f *fleet, target int) { f.agentAt[target].crash() }},
 	{name: "agent killed and replaced", loses: true, strike: func(f *fleet, target int) {
--- a/internal/faultmatrix/matrix_test.go
+++ b/internal/faultmatrix/matrix_test.go
@@ -351,7 +351,7 @@
 		}
 	}
 	sharesLinks := func(f fault) bool {
-		return f.name == "uneven updates" || strings.HasPrefix(f.name, "data centres") || strings.HasPrefix(f.name, "link")
+		return f.name == "uneven updates" || strings.HasPrefix(f.name, "data centres") || f.name == "balancer cut from the fabric" || strings.HasPrefix(f.name, "link")
 	}
 	return !sharesLinks(a) || !sharesLinks(b)
 }
--- a/internal/replypath/replypath.go
+++ b/internal/replypath/replypath.go
@@ -29,9 +29,10 @@
 	equalWeight = 1
 )
 
-// Chooser chooses balancers. It is safe for concurrent use; Heard and Choose
-// take no lock.
+// Chooser chooses balancers. It is safe for concurrent use; its only lock is
+// held for one look at a caller.
 type Chooser struct {
+	stalls stalls
 	// received counts the packets of all balancers.
 	received atomic.Uint64
 	heard    sync.Map // of netip.AddrPort to *clock
@@ -70,6 +71,12 @@
 	}
 }
 
+// Stalled notes that acknowledgements of a caller are missing; from now on it
+// has another first choice.
+func (c *Chooser) Stalled(caller netip.AddrPort) {
+	c.stalls.add(caller)
+}
+
 // Choose returns the balancer for the answers to a caller: the best ranked of
 // targets that is not silent, or the best ranked if all are.
 func (c *Chooser) Choose(caller netip.AddrPort, targets []netip.AddrPort, now time.Time) (netip.AddrPort, bool) {
@@ -77,7 +84,7 @@
 		return netip.AddrPort{}, false
 	}
 	octets := caller.Addr().As16()
-	flow := xxhash.Sum64(octets[:]) + uint64(caller.Port())
+	flow := xxhash.Sum64(octets[:]) + uint64(caller.Port()) + c.stalls.shift(caller)
 	var best netip.AddrPort
 	var bestScore float64
 	bestSilent := true
--- a/internal/replypath/replypath_test.go
+++ b/internal/replypath/replypath_test.go
@@ -67,6 +67,25 @@
 	is.New(t).True(!ok)
 }
 
+// A caller whose acknowledgements are missing reaches every balancer within a
+// few probe timeouts, and nobody else's choice changes.
+func TestStalledCallerGetsOtherBalancers(t *testing.T) {
+	is := is.New(t)
+	chooser := NewChooser()
+	other := netip.MustParseAddrPort("127.9.9.8:40001")
+	before, _ := chooser.Choose(other, balancers, start)
+	chosen := make(map[netip.AddrPort]bool)
+	for range 12 {
+		balancer, ok := chooser.Choose(caller, balancers, start)
+		is.True(ok)
+		chosen[balancer] = true
+		chooser.Stalled(caller)
+	}
+	is.Equal(len(chosen), len(balancers))
+	after, _ := chooser.Choose(other, balancers, start)
+	is.Equal(after, before)
+}
+
 func TestChooserIsBounded(t *testing.T) {
 	is := is.New(t)
 	chooser := NewChooser()
