Matrix: an agent that came back must have its configuration

Change: Revision answers zero while the agent waits; the matrix demands a configuration of every agent whose backend server is there. Conclusion: a fault of the accessor, not of routing.

--- a/internal/agent/admin.go
+++ b/internal/agent/admin.go
@@ -73,8 +73,12 @@
 	return nil
 }
 
-// Revision returns the store revision of the configuration in force.
+// Revision returns the store revision of the configuration in force, or zero
+// while the agent waits for its backend server or its service.
 func (a *Agent) Revision() int64 {
+	if !a.assembled.Load() {
+		return 0
+	}
 	return a.driver.Catalog().Revision()
 }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -75,6 +75,8 @@
 	callerCertificate atomic.Pointer[tls.Certificate]
 
 	serviceID service.ID
+	// assembled reports that the parts above exist.
+	assembled atomic.Bool
 	// spec is the service in force at this agent.
 	spec     atomic.Pointer[service.Spec]
 	removed  atomic.Bool
@@ -198,6 +200,7 @@
 	if err := a.assemble(spec); err != nil {
 		return err
 	}
+	a.assembled.Store(true)
 	return a.serve(ctx, drain)
 }
 
--- a/internal/faultmatrix/fleet_test.go
+++ b/internal/faultmatrix/fleet_test.go
@@ -104,6 +104,8 @@
 	flows   int
 	ended   []caller.End
 	stops   []func()
+	// backendLeft notes the backend servers that were told to leave.
+	backendLeft [agentCount]bool
 	// stopBackends end the backend servers gracefully.
 	stopBackends []func()
 	// onAccept is told of each accepted ticket.
@@ -343,7 +345,10 @@
 }
 
 // stopBackend tells a backend server to leave gracefully.
-func (f *fleet) stopBackend(i int) { f.stopBackends[i]() }
+func (f *fleet) stopBackend(i int) {
+	f.backendLeft[i] = true
+	f.stopBackends[i]()
+}
 
 // flow opens a caller's flow to a service address.
 func (f *fleet) flow(front netip.AddrPort) *caller.Flow {
--- a/internal/faultmatrix/matrix_test.go
+++ b/internal/faultmatrix/matrix_test.go
@@ -259,6 +259,10 @@
 		if c.gone(c.agentAt[i]) {
 			continue
 		}
+		// An agent whose backend server has left has nobody to announce.
+		if a.Revision() == 0 && !c.backendLeft[i] {
+			c.t.Errorf("agent %d has no configuration", i)
+		}
 		if revision := a.Revision(); revision < c.acceptedFor(i) {
 			c.t.Errorf("agent %d is at revision %d, ticket accepted at %d", i, revision, c.acceptedFor(i))
 		}
