Matrix harness: lists of processes are replaced under a lock

Cause: in one of two runs the goroutine that watches revisions met a balancer that was being started (nil in the list): a race of the harness, with another verdict from run to run. Change: a process enters the lists when it exists; lists are copied, readers take them under the lock.

--- a/internal/faultmatrix/fleet_test.go
+++ b/internal/faultmatrix/fleet_test.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -264,15 +265,34 @@
 			netip.AddrPortFrom(balancerHost(i), 7100), netip.AddrPortFrom(balancerHost(i), 7080))
 		f.must(err)
 		f.settings.balancers = append(f.settings.balancers, config)
-		f.balancers = append(f.balancers, nil)
-		f.balancerAt = append(f.balancerAt, nil)
 	}
 	b, err := balancer.New(f.settings.balancers[i], balancer.Options{
 		Log: quiet(), Network: host, StoreTransport: platform.Transport{Platform: f.store},
 	})
 	f.must(err)
-	f.balancers[i] = b
-	f.balancerAt[i] = f.launch(host, b.Run)
+	l := f.launch(host, b.Run)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.balancers = put(f.balancers, i, b)
+	f.balancerAt = put(f.balancerAt, i, l)
+}
+
+// put stores item at index i of list, which it may lengthen by one. The list is
+// copied, so that others can go on reading the one before.
+func put[T any](list []T, i int, item T) []T {
+	next := slices.Clone(list)
+	if i == len(next) {
+		return append(next, item)
+	}
+	next[i] = item
+	return next
+}
+
+// liveBalancers returns the balancers that were started.
+func (f *fleet) liveBalancers() []*balancer.Balancer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.balancers
 }
 
 func (f *fleet) startAgent(i int) {
@@ -283,15 +303,16 @@
 			netip.AddrPortFrom(agentHost(i), 7090), netip.AddrPortFrom(agentHost(i), 7080))
 		f.must(err)
 		f.settings.agents = append(f.settings.agents, config)
-		f.agents = append(f.agents, nil)
-		f.agentAt = append(f.agentAt, nil)
 	}
 	a, err := agent.New(f.settings.agents[i], agent.Options{
 		Log: quiet(), Network: host, StoreTransport: platform.Transport{Platform: f.store},
 	})
 	f.must(err)
-	f.agents[i] = a
-	f.agentAt[i] = f.launch(host, a.Run)
+	l := f.launch(host, a.Run)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.agents = put(f.agents, i, a)
+	f.agentAt = put(f.agentAt, i, l)
 }
 
 func (f *fleet) launch(host *memnet.Host, role func(ctx, drain context.Context) error) *life {
--- a/internal/faultmatrix/matrix_test.go
+++ b/internal/faultmatrix/matrix_test.go
@@ -393,7 +393,7 @@
 				return
 			case <-time.After(100 * time.Millisecond):
 			}
-			for i, b := range c.balancers {
+			for i, b := range c.liveBalancers() {
 				revision := b.Driver().Catalog().Revision()
 				if revision < highest[balancerHost(i)] {
 					c.revision.problems = append(c.revision.problems, fmt.Sprintf("balancer %d went back to revision %d", i, revision))
