Matrix harness: shared lists under the lock

Cause: a run under the race detector reported four races, all in the harness. Change: stops, answers and the list of balancers are used under the lock.

--- a/internal/faultmatrix/faults_test.go
+++ b/internal/faultmatrix/faults_test.go
@@ -110,7 +110,7 @@
 		time.Sleep(wait)
 		undo()
 	})
-	f.stops = append(f.stops, group.Wait)
+	f.atStop(group.Wait)
 }
 
 func (f *fleet) freeze(l *life) {
@@ -183,7 +183,7 @@
 	f.balancerAt[i].drain()
 	f.after(healthCheck/2, func() {
 		var rest []int
-		for k := range f.balancerAt {
+		for k := range f.liveBalancers() {
 			if k != i {
 				rest = append(rest, k)
 			}
--- a/internal/faultmatrix/fleet_test.go
+++ b/internal/faultmatrix/fleet_test.go
@@ -165,6 +165,13 @@
 	time.Sleep(15 * time.Second) // warm
 }
 
+// atStop adds what ends a part of the fleet.
+func (f *fleet) atStop(stop func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stops = append(f.stops, stop)
+}
+
 // stop ends everything, so that the bubble can end.
 func (f *fleet) stop(cancel context.CancelFunc) {
 	for _, stop := range f.stops {
@@ -359,7 +366,7 @@
 		_ = server.Run(ctx)
 	}()
 	f.stopBackends = append(f.stopBackends, cancel)
-	f.stops = append(f.stops, func() {
+	f.atStop(func() {
 		cancel()
 		<-done
 	})
@@ -390,7 +397,7 @@
 		},
 	})
 	f.must(err)
-	f.stops = append(f.stops, flow.Close)
+	f.atStop(flow.Close)
 	return flow
 }
 
--- a/internal/faultmatrix/matrix_test.go
+++ b/internal/faultmatrix/matrix_test.go
@@ -194,6 +194,8 @@
 // and that no planned change cut a request.
 func (c *cell) verifyAnswers(int) {
 	c.t.Helper()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, n := range c.answers {
 		if n.answer.Verdict == caller.Wrong {
 			c.t.Errorf("request %q got a wrong answer: %v", n.name, n.answer.Err)
