--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -57,7 +57,7 @@
 		for i := range count {
 			message, err := l.opener.Open(reader.Datagram(i), &candidates)
 			if err != nil {
-				l.metrics.countRefused(err)
+				l.metrics.refusals.Count(err)
 				continue
 			}
 			l.handle(now, reader.From(i), &message, &scratch)
@@ -76,7 +76,7 @@
 	case envelope.Claim:
 		l.handleClaim(now, from, message)
 	case envelope.Outbound:
-		l.metrics.misdirected.Inc()
+		l.metrics.refusals.Misdirected.Inc()
 	}
 }
 
@@ -98,7 +98,7 @@
 	case err == nil && owner.Service != route.id:
 		l.metrics.otherService.Inc()
 	case err == nil && owner.Agent != l.self:
-		l.metrics.misdirected.Inc()
+		l.metrics.refusals.Misdirected.Inc()
 	case err == nil:
 		l.markKeyUsed(version, now)
 		l.conn.deliver(message.Payload, message.Caller)
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -1,25 +1,20 @@
 package agent
 
 import (
-	"errors"
-
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/almondledge/almondledge/internal/envelope"
+	"github.com/almondledge/almondledge/internal/linkmetrics"
 	"github.com/almondledge/almondledge/internal/opening"
 )
 
 // Metrics holds the packet and flow counters of an agent.
 type Metrics struct {
+	refusals         *linkmetrics.Refusals
 	queueFull        *metrics.Counter
 	noBalancer       *metrics.Counter
 	unsent           *metrics.Counter
-	misdirected      *metrics.Counter
 	otherService     *metrics.Counter
 	malformed        *metrics.Counter
-	refusedMalformed *metrics.Counter
-	refusedForged    *metrics.Counter
-	refusedReplayed  *metrics.Counter
 	openingDelivered *metrics.Counter
 	openingRefused   *metrics.Counter
 	openingPassed    *metrics.Counter
@@ -30,15 +25,12 @@
 // NewMetrics registers the counters in set.
 func NewMetrics(set *metrics.Set) *Metrics {
 	return &Metrics{
+		refusals:         linkmetrics.NewRefusals(set),
 		queueFull:        set.NewCounter("almondledge_receive_queue_full_total"),
 		noBalancer:       set.NewCounter("almondledge_replies_without_balancer_total"),
 		unsent:           set.NewCounter("almondledge_datagrams_unsent_total"),
-		misdirected:      set.NewCounter(`almondledge_envelopes_refused_total{reason="misdirected"}`),
 		otherService:     set.NewCounter(`almondledge_envelopes_refused_total{reason="other_service"}`),
 		malformed:        set.NewCounter(`almondledge_envelopes_refused_total{reason="not_quic"}`),
-		refusedMalformed: set.NewCounter(`almondledge_envelopes_refused_total{reason="malformed"}`),
-		refusedForged:    set.NewCounter(`almondledge_envelopes_refused_total{reason="forged"}`),
-		refusedReplayed:  set.NewCounter(`almondledge_envelopes_refused_total{reason="replayed"}`),
 		openingDelivered: set.NewCounter(`almondledge_opening_packets_total{fate="delivered"}`),
 		openingRefused:   set.NewCounter(`almondledge_opening_packets_total{fate="refused"}`),
 		openingPassed:    set.NewCounter(`almondledge_opening_packets_total{fate="passed"}`),
@@ -47,18 +39,6 @@
 	}
 }
 
-// countRefused counts a datagram that was not opened.
-func (m *Metrics) countRefused(err error) {
-	switch {
-	case errors.Is(err, envelope.ErrReplayed):
-		m.refusedReplayed.Inc()
-	case errors.Is(err, envelope.ErrMalformed):
-		m.refusedMalformed.Inc()
-	default:
-		m.refusedForged.Inc()
-	}
-}
-
 // countFate counts what became of an opening packet.
 func (m *Metrics) countFate(fate opening.Fate) {
 	switch fate {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -257,7 +257,7 @@
 
 func (b *Balancer) handleControl(from netip.AddrPort, payload []byte) {
 	if err := b.driver.HandleDatagram(from, payload); err != nil {
-		b.metrics.misdirected.Inc()
+		b.metrics.refusals.Misdirected.Inc()
 	}
 }
 
--- a/internal/balancer/forwarder.go
+++ b/internal/balancer/forwarder.go
@@ -171,7 +171,7 @@
 		for i := range count {
 			message, err := f.config.Opener.Open(reader.Datagram(i), &candidates)
 			if err != nil {
-				f.config.Metrics.countRefused(err)
+				f.config.Metrics.refusals.Count(err)
 				continue
 			}
 			f.outbound(&message, reader.From(i), writer)
@@ -187,7 +187,7 @@
 	case envelope.Outbound:
 		f.reply(message, writer)
 	case envelope.Inbound, envelope.Claim:
-		f.config.Metrics.misdirected.Inc()
+		f.config.Metrics.refusals.Misdirected.Inc()
 	}
 }
 
--- a/internal/balancer/forwarder_test.go
+++ b/internal/balancer/forwarder_test.go
@@ -139,7 +139,7 @@
 	is.Equal(packet.Src, bookingAddr)
 	is.Equal(packet.Dst, callerAddr)
 	is.Equal(b.forwarder.config.Metrics.replyOtherService.Get(), uint64(1))
-	is.Equal(b.forwarder.config.Metrics.refusedForged.Get(), uint64(1))
+	is.Equal(b.forwarder.config.Metrics.refusals.Forged(), uint64(1))
 }
 
 func TestFlowLimiterKeepsBucketsOverTableChanges(t *testing.T) {
