--- a/internal/controlplane/driver.go
+++ b/internal/controlplane/driver.go
@@ -15,7 +15,6 @@
 
 	"github.com/almondledge/almondledge/internal/catalog"
 	"github.com/almondledge/almondledge/internal/control"
-	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/member"
 	"github.com/almondledge/almondledge/internal/presence"
 	"github.com/almondledge/almondledge/internal/service"
@@ -106,15 +105,6 @@
 	d.pulls.Wait()
 }
 
-// startPull runs pull in a goroutine unless the driver has stopped.
-func (d *Driver) startPull(pull func()) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if !d.stopped {
-		d.pulls.Go(pull)
-	}
-}
-
 // HandleDatagram takes the payload of an authenticated control envelope.
 func (d *Driver) HandleDatagram(from netip.AddrPort, payload []byte) error {
 	m, err := control.Decode(payload)
@@ -305,31 +295,3 @@
 	defer d.mu.Unlock()
 	return d.node.Counters()
 }
-
-func (d *Driver) pullCatalog(p control.CatalogPull) {
-	var delta catalog.Delta
-	err := d.request(p.Stream, request{Kind: requestCatalog, From: p.From, Service: p.Service}, &delta)
-	d.do(func(now time.Time) []control.Output { return d.node.HandleCatalog(now, p.Peer, delta, err) })
-}
-
-func (d *Driver) pullMembers(p control.MemberPull) {
-	var members []member.Member
-	err := d.request(p.Stream, request{Kind: requestMembers, Buckets: p.Buckets}, &members)
-	d.do(func(now time.Time) []control.Output { return d.node.HandleMembers(now, p.Peer, members, err) })
-}
-
-// answer returns the reply to a peer's request.
-func (d *Driver) answer(r request) (any, error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	switch r.Kind {
-	case requestLookup:
-		return d.lookupReply(r.Name), nil
-	case requestCatalog:
-		return d.node.DeltaSince(r.From, r.Service), nil
-	case requestMembers:
-		return d.node.Bucket(r.Buckets...), nil
-	default:
-		return nil, errkind.New(errkind.Invalid, "unknown stream request", "check that all nodes run compatible versions")
-	}
-}
--- a/internal/faultmatrix/faults_test.go
+++ b/internal/faultmatrix/faults_test.go
@@ -44,9 +44,9 @@
 	{name: "balancer joins", strike: func(f *fleet, _ int) { f.joinBalancer() }},
 	{name: "balancer cut from the fabric", strike: func(f *fleet, _ int) {
 		// Its peers and agents find it healthy, but callers get no answer through it.
-		mute := balancerHost(1)
+		severed := balancerHost(1)
 		f.links(func(from, to netip.Addr) memnet.Link {
-			return memnet.Link{Delay: linkDelay, Cut: from == mute && to == fabricAddr.Addr()}
+			return memnet.Link{Delay: linkDelay, Cut: from == severed && to == fabricAddr.Addr()}
 		})
 	}},
 	{name: "balancer leaves", strike: func(f *fleet, _ int) { f.leaveBalancer(2) }},
@@ -65,7 +65,7 @@
 	{name: "backend server drains", strike: func(f *fleet, target int) { f.stopBackend(target) }},
 	{name: "backend server cold", strike: knobs(backend.Knobs{ColdStartMillis: 60_000, ColdSlowMillis: 800})},
 	{name: "backend server sheds load", strike: knobs(backend.Knobs{ShedShare: 1}), loses: true},
-	{name: "backend server lies about load", strike: knobs(backend.Knobs{ReportLoad: new(float64), Unhealthy: true})},
+	{name: "backend server misreports its load", strike: knobs(backend.Knobs{ReportLoad: new(float64), Unhealthy: true})},
 	{name: "uneven updates", strike: func(f *fleet, _ int) {
 		lagging := balancerHost(2)
 		f.links(func(from, to netip.Addr) memnet.Link {
--- a/internal/lab/latency/latency.go
+++ b/internal/lab/latency/latency.go
@@ -20,6 +20,7 @@
 	"github.com/almondledge/almondledge/internal/lab/deploy"
 	"github.com/almondledge/almondledge/internal/lab/load"
 	"github.com/almondledge/almondledge/internal/localfleet"
+	"github.com/almondledge/almondledge/internal/standin/fabric"
 )
 
 const (
@@ -79,6 +80,10 @@
 		return report, err
 	}
 	defer deployment.Stop()
+	// The fabric's own delay belongs to neither way.
+	if err := deployment.SetFabric(ctx, withoutDelay); err != nil {
+		return report, err
+	}
 	direct, stop, err := openDirect(ctx)
 	if err != nil {
 		return report, err
@@ -102,6 +107,12 @@
 	return report, nil
 }
 
+// withoutDelay takes the delays from the fabric stand-in.
+func withoutDelay(knobs *fabric.Knobs) {
+	knobs.DelayMillis = nil
+	knobs.JitterMillis = 0
+}
+
 func newHistogram() *hdrhistogram.Histogram {
 	return hdrhistogram.New(lowestMicros, highestMicros, digits)
 }
--- a/internal/ticket/fault_test.go
+++ b/internal/ticket/fault_test.go
@@ -231,12 +231,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		submitter := newSubmitter(platform.New(nil))
-		heir := specOf(9, 5)
-		heir.Name = "service-1"
+		successor := specOf(9, 5)
+		successor.Name = "service-1"
 		for _, next := range []Ticket{
 			ticketOf("create", specOf(1, 5)),
 			{ID: "remove", Submitter: "ayse", Removed: []string{"service-1"}},
-			ticketOf("heir", heir),
+			ticketOf("successor", successor),
 		} {
 			_, err := submitter.Submit(t.Context(), next)
 			is.NoErr(err)
--- a/internal/ticket/plan_test.go
+++ b/internal/ticket/plan_test.go
@@ -47,8 +47,8 @@
 	thief.Address = specOf(1, 5).Address
 	namesake := specOf(3, 5)
 	namesake.Name = specOf(1, 5).Name
-	heir := specOf(4, 5)
-	heir.Address = specOf(1, 5).Address
+	successor := specOf(4, 5)
+	successor.Address = specOf(1, 5).Address
 	stale := ticketOf("t", specOf(1, 6))
 	stale.Bases = []Base{{Service: "service-1", Revision: 9}}
 	cases := []struct {
@@ -63,8 +63,8 @@
 		{"address of another service", currentWith(specOf(1, 5)), ticketOf("t", thief), errkind.Invalid, "belongs to service service-1"},
 		{"name of another service", currentWith(specOf(1, 5)), ticketOf("t", namesake), errkind.Invalid, "belongs to the service with ID 1"},
 		{"ID of a removed service", removed(specOf(1, 5), testTime.Add(-time.Hour)), ticketOf("t", specOf(1, 5)), errkind.Invalid, "never used"},
-		{"address in quarantine", removed(specOf(1, 5), testTime.Add(-59*time.Minute)), ticketOf("t", heir), errkind.Invalid, "wait until"},
-		{"address out of quarantine", removed(specOf(1, 5), testTime.Add(-time.Hour)), ticketOf("t", heir), "", ""},
+		{"address in quarantine", removed(specOf(1, 5), testTime.Add(-59*time.Minute)), ticketOf("t", successor), errkind.Invalid, "wait until"},
+		{"address out of quarantine", removed(specOf(1, 5), testTime.Add(-time.Hour)), ticketOf("t", successor), "", ""},
 		{"nothing to remove", currentWith(), Ticket{ID: "t", Removed: []string{"service-1"}}, errkind.Invalid, "no service service-1"},
 		{"old base", currentWith(specOf(1, 5)), stale, errkind.Conflict, "at revision 10"},
 		{"base of a removed service", currentWith(), stale, errkind.Conflict, "at revision 0"},
