--- a/internal/control/sample.go
+++ b/internal/control/sample.go
@@ -23,11 +23,23 @@
 func (b *balancer) samplePeers(now time.Time, self member.Member) memberList {
 	key := presence.GroupKey{DataCentre: self.DataCentre, Kind: member.Agent, Service: self.Service}
 	list := b.sampleGroup(now, nil, b.table.Group(key), self.Addr)
-	if len(list) < ackPeers {
-		for _, c := range b.table.Candidates(now, self.Service) {
-			if c.DataCentre != self.DataCentre && c.State.TakesNewFlows() && len(list) < ackPeers {
-				list = append(list, c.Member)
-			}
+	if len(list) >= ackPeers {
+		return list
+	}
+	return b.sampleRemote(list, b.table.Candidates(now, self.Service), self.DataCentre)
+}
+
+// sampleRemote adds willing agents of other data centres, from a random one on,
+// so that relays do not gather at those that are listed first.
+func (b *balancer) sampleRemote(list memberList, candidates []presence.Candidate, dataCentre string) memberList {
+	if len(candidates) == 0 {
+		return list
+	}
+	offset := b.n.cfg.Rand.IntN(len(candidates))
+	for i := range candidates {
+		c := candidates[(offset+i)%len(candidates)]
+		if len(list) < ackPeers && c.DataCentre != dataCentre && c.State.TakesNewFlows() {
+			list = append(list, c.Member)
 		}
 	}
 	return list
--- /dev/null
+++ b/internal/control/sample_test.go
@@ -0,0 +1,42 @@
+package control
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/member"
+)
+
+// Over time an agent must hear of every willing agent of its service, or all
+// agents would relay to the same few.
+func TestSampledPeersCoverOtherDataCentres(t *testing.T) {
+	const agents = 10
+	now := time.Unix(1_800_000_000, 0)
+	addr := func(host byte) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, 0, host}), 7000)
+	}
+	self := member.Member{Addr: addr(200), Kind: member.Balancer, State: member.Serving, Incarnation: 1, DataCentre: "cesme"}
+	node := New(now, Config{Self: self, Rand: rand.New(rand.NewPCG(1, 1))})
+	asking := member.Member{Addr: addr(100), Kind: member.Agent, State: member.Serving, Incarnation: 1, DataCentre: "cesme", Service: 1}
+	for i := range byte(agents) {
+		remote := asking
+		remote.Addr = addr(i + 1)
+		remote.DataCentre = []string{"alacati", "bodrum"}[i%2]
+		node.balancer.table.Merge(now, remote)
+	}
+	named := make(map[netip.AddrPort]bool)
+	for range 100 {
+		sample := node.balancer.samplePeers(now, asking)
+		if len(sample) != ackPeers {
+			t.Fatalf("sample of %d peers, want %d", len(sample), ackPeers)
+		}
+		for _, peer := range sample {
+			named[peer.Addr] = true
+		}
+	}
+	if len(named) != agents {
+		t.Errorf("100 samples named %d of %d agents", len(named), agents)
+	}
+}
