Keys of an earlier life of an agent are answered by its peers

A test reproduces one way: an agent that restarts at its address does not hold the ledger of its earlier life, and its peers do. Ruled out: draining two of three at once by itself (TestDrainingTwoAtOnceKeepsOutcomesKnown passes). Change: the agent asks a peer about keys of an earlier life at its address; a refusal from the closed ledger of that life counts as the word of that life. Figures: TestKeysOutliveTheirAgentsRestart failed ('unknown' for a used and an unused key), passes now.

--- a/internal/faultmatrix/handover_test.go
+++ b/internal/faultmatrix/handover_test.go
@@ -58,6 +58,25 @@
 	})
 }
 
+// TestKeysOutliveTheirAgentsRestart is the same for an agent that comes back at
+// its address, asked through the new agent itself.
+func TestKeysOutliveTheirAgentsRestart(t *testing.T) {
+	run(t, 7, func(f *fleet) {
+		is := is.NewRelaxed(t)
+		c := &cell{fleet: f, target: 1, bookings: map[string]caller.Answer{}}
+		holder := c.holdKeys()
+		f.agentAt[1].drain()
+		<-f.agentAt[1].done
+		f.startAgent(1)
+		time.Sleep(20 * time.Second) // warm
+		flow, _ := c.established()
+		is.Equal(c.bookOn(flow, "used", holder.used).Verdict, caller.Answered)
+		is.Equal(c.runs("used"), 1)
+		is.Equal(c.bookOn(flow, "unused", holder.unused).Verdict, caller.NotRun)
+		is.Equal(c.runs("unused"), 0)
+	})
+}
+
 // TestKeysOfADrainingAgentWork: a draining agent still answers for its keys.
 func TestKeysOfADrainingAgentWork(t *testing.T) {
 	run(t, 6, func(f *fleet) {
--- a/internal/gateway/fields.go
+++ b/internal/gateway/fields.go
@@ -33,6 +33,9 @@
 	relayFreeSlotField = "Almondledge-Relay-Free-Slot"
 	// relayLifeField tells in an answer the life that grants for the agent must name.
 	relayLifeField = "Almondledge-Relay-Life"
+	// relayLedgerField names in a refusal the process life whose closed ledger
+	// the answering agent holds.
+	relayLedgerField = "Almondledge-Relay-Ledger"
 	// relayLifeMissingField says in an answer that the grant named no life.
 	relayLifeMissingField = "Almondledge-Relay-Life-Missing"
 	relayRetryMsField     = "Almondledge-Relay-Retry-After-Ms"
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -199,8 +199,12 @@
 }
 
 // knowsRequest reports whether a refusal comes from the process life that the
-// key or the grant names. Another one can only tell that this ask did not run.
+// key or the grant names, or from the closed ledger of that life. Another one
+// can only tell that this ask did not run.
 func (x *exchange) knowsRequest(response *http.Response) bool {
+	if x.forward && response.Header.Get(relayLedgerField) == strconv.FormatUint(x.key.Incarnation, 10) {
+		return true
+	}
 	life, err := idempotency.ParseLife(response.Header.Get(relayLifeField))
 	switch {
 	case x.repeatable:
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -148,6 +149,8 @@
 		x.runRecorded()
 	case idempotency.NotGranter:
 		x.serveForward()
+	case idempotency.OutcomeUnknown:
+		x.serveUnknown(decision)
 	default:
 		x.answerVerdict(decision)
 	}
@@ -181,6 +184,21 @@
 	x.run(request.Route{PeerDecides: true, Peers: 1, Reasks: maxReasks, Deadline: x.deadline})
 }
 
+// serveUnknown serves a request whose outcome this agent does not know. If its
+// key was granted by an earlier process life at this address, a peer may hold
+// the ledger of that life.
+func (x *exchange) serveUnknown(d idempotency.Decision) {
+	earlierLife := x.key.Granter == x.g.cfg.Addr && x.key.Incarnation != x.g.cfg.Incarnation
+	peers := x.g.candidates(x.spec.ID)
+	if !earlierLife || x.hops > 0 || len(peers) == 0 {
+		x.answerVerdict(d)
+		return
+	}
+	x.forward = true
+	x.peers = append(x.peers, peers[0])
+	x.run(request.Route{PeerDecides: true, Peers: 1, Reasks: maxReasks, Deadline: x.deadline})
+}
+
 // answerVerdict answers a request that a record keeps from running.
 func (x *exchange) answerVerdict(d idempotency.Decision) {
 	switch d.Verdict {
@@ -193,6 +211,10 @@
 		x.writeProblem(newProblem("key-reused", http.StatusUnprocessableEntity, OutcomeNotRun,
 			"The key was used for another request", "send this request with a fresh key"))
 	case idempotency.RefusedBefore:
+		if x.key != nil && x.key.Incarnation != x.g.cfg.Incarnation {
+			// Only the closed ledger of that life can say so.
+			x.w.Header().Set(relayLedgerField, strconv.FormatUint(x.key.Incarnation, 10))
+		}
 		x.writeProblem(newProblem("key-spent", http.StatusConflict, OutcomeNotRun,
 			"The request was refused before dispatch", "it was not run and will not be; send it with a fresh key"))
 	case idempotency.Full:
