--- a/cmd/almondledge/main.go
+++ b/cmd/almondledge/main.go
@@ -15,6 +15,7 @@
 type commands struct {
 	Balancer balancerCmd `cmd:"" help:"Run a balancer."`
 	Agent    agentCmd    `cmd:"" help:"Run an agent beside a backend server."`
+	Platform platformCmd `cmd:"" help:"Run a role on the users' platform (settings named by ALMONDLEDGE_SETTINGS)."`
 	Demo     demoCmd     `cmd:"" help:"Run a small deployment in this process, with traffic and failures, for half a minute."`
 	cli.Commands
 }
--- /dev/null
+++ b/internal/fleet/handle.go
@@ -0,0 +1,141 @@
+package fleet
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// relayLifetime is how long the answer to a relayed probe is waited for.
+const relayLifetime = time.Second
+
+// Handle takes a datagram of another member. An error of kind Invalid means that
+// it could not be read; nothing was changed then.
+func (n *Node) Handle(now time.Time, from netip.AddrPort, payload []byte) ([]Send, []Event, error) {
+	m, err := decode(payload)
+	if err != nil {
+		return nil, nil, err
+	}
+	if m.From.Addr == n.self.Addr {
+		return nil, nil, nil // this member's own words, by way of a stale address
+	}
+	n.takeIn(now, m)
+	switch m.Type {
+	case typePing:
+		n.answer(from, m)
+	case typeAck:
+		n.acknowledged(m)
+	case typePingRequest:
+		n.help(now, from, m)
+	case typeNews, typeTable:
+		n.joined = n.joined || (m.Type == typeTable && !m.Ask)
+		if m.Ask {
+			n.sendTable(m.From.Addr, 0)
+		}
+	}
+	if m.Type == typePing && m.Sum != n.sum {
+		n.compare(m)
+	}
+	sends, events := n.take()
+	return sends, events, nil
+}
+
+// takeIn learns what any message says of its sender and of others.
+func (n *Node) takeIn(now time.Time, m *message) {
+	known := n.records[m.From.Addr]
+	if known != nil && Supersedes(&known.Member, &m.From) {
+		// The sender must hear what is held against it, to object with a newer statement.
+		n.tell(known.Member, m.From.Addr)
+	}
+	n.learn(now, m.From)
+	for i := range m.Members {
+		n.learn(now, m.Members[i])
+	}
+	if m.From.Role == Agent {
+		n.events = append(n.events, Event{Kind: LoadReported, Member: m.From, Load: m.Load})
+	}
+	n.events = append(n.events, Event{
+		Kind:    VersionReported,
+		Member:  m.From,
+		Version: m.Version,
+		Age:     time.Duration(m.AgeMS) * time.Millisecond,
+	})
+}
+
+// tell sends one statement to one member.
+func (n *Node) tell(about Member, to netip.AddrPort) {
+	m := n.message(typeNews)
+	m.Members = []Member{about}
+	n.sendTo(m, to)
+}
+
+func (n *Node) answer(from netip.AddrPort, ping *message) {
+	m := n.message(typeAck)
+	m.Sequence = ping.Sequence
+	m.Target = n.self.Addr
+	m.Members = n.takeNews()
+	n.sendTo(m, from)
+}
+
+// acknowledged ends a probe, or passes an answer on to the member that asked for it.
+func (n *Node) acknowledged(m *message) {
+	if r, ok := n.relays[m.Sequence]; ok && m.Target == m.From.Addr {
+		delete(n.relays, m.Sequence)
+		passed := n.message(typeAck)
+		passed.Sequence = r.sequence
+		passed.Target = m.From.Addr
+		passed.Members = []Member{m.From}
+		n.sendTo(passed, r.asker)
+		return
+	}
+	if p := n.probes[m.Sequence]; p != nil && p.target == m.Target {
+		delete(n.probes, m.Sequence)
+	}
+}
+
+// help probes a member for another one.
+func (n *Node) help(now time.Time, from netip.AddrPort, m *message) {
+	n.sequence++
+	n.relays[n.sequence] = relay{asker: from, sequence: m.Sequence, until: now.Add(relayLifetime)}
+	ping := n.message(typePing)
+	ping.Sequence = n.sequence
+	n.sendTo(ping, m.Target)
+}
+
+// compare answers a ping whose sender has another table. Both send the part of
+// theirs that changed last, which is where they most likely differ; the sender
+// does so when it is probed in turn.
+func (n *Node) compare(m *message) {
+	n.sendTable(m.From.Addr, 1)
+}
+
+// sendTable sends statements, the newest first, in at most parts datagrams, or as
+// many as tableParts allows when parts is zero.
+func (n *Node) sendTable(to netip.AddrPort, parts int) {
+	records := make([]*record, 0, len(n.records))
+	for _, r := range n.records {
+		records = append(records, r)
+	}
+	slices.SortFunc(records, func(a, b *record) int {
+		return cmp.Or(b.since.Compare(a.since), a.Addr.Compare(b.Addr))
+	})
+	if parts == 0 {
+		parts = tableParts
+	} else if len(records) > maxDatagramMembers && n.cfg.Rand.IntN(2) == 0 {
+		// Differences may lie deeper: now and then send a random part.
+		n.cfg.Rand.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
+	}
+	for range parts {
+		count := min(len(records), maxDatagramMembers)
+		m := n.message(typeTable)
+		for _, r := range records[:count] {
+			m.Members = append(m.Members, r.Member)
+		}
+		n.sendTo(m, to)
+		records = records[count:]
+		if len(records) == 0 {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/node.go
@@ -0,0 +1,289 @@
+package fleet
+
+import (
+	"math"
+	"math/bits"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// record is a member with what this node observed of it.
+type record struct {
+	Member
+	// sumCache is the hash of the statement.
+	sumCache uint64
+	// since is when the current statement came into force here.
+	since time.Time
+}
+
+// news is a change that is being passed on.
+type news struct {
+	addr netip.AddrPort
+	left int
+}
+
+// Node is the membership logic of one process. It is not safe for concurrent use.
+type Node struct {
+	cfg     Config
+	self    *record
+	records map[netip.AddrPort]*record
+	// order lists the other members in the random order in which they are probed.
+	order []netip.AddrPort
+	next  int
+	// sum is the hash of the whole table: the exclusive or of all statements.
+	sum        uint64
+	generation uint64
+	queue      []news
+	probes     map[uint32]*probe
+	relays     map[uint32]relay
+	sequence   uint32
+	joined     bool
+
+	lastTick, nextProbe, nextJoin time.Time
+
+	out    []Send
+	events []Event
+}
+
+// New returns a node that starts at time now.
+func New(now time.Time, cfg Config) *Node {
+	n := &Node{
+		cfg:      cfg,
+		records:  map[netip.AddrPort]*record{},
+		probes:   map[uint32]*probe{},
+		relays:   map[uint32]relay{},
+		lastTick: now,
+	}
+	cfg.Self.Revision = 1
+	n.self = &record{Member: cfg.Self, since: now}
+	n.self.sumCache = n.self.Member.sum()
+	n.records[cfg.Self.Addr] = n.self
+	n.sum = n.self.sumCache
+	n.generation = 1
+	return n
+}
+
+// Tick lets time pass; call it every TickPeriod.
+func (n *Node) Tick(now time.Time) ([]Send, []Event) {
+	gap := now.Sub(n.lastTick)
+	n.lastTick = now
+	if gap > freezeLimit {
+		n.thaw(now, gap)
+	}
+	n.checkProbes(now)
+	n.checkSuspects(now)
+	if !now.Before(n.nextJoin) {
+		n.contactSeeds(now)
+	}
+	if !now.Before(n.nextProbe) {
+		n.nextProbe = now.Add(probePeriod)
+		n.startProbe(now)
+	}
+	return n.take()
+}
+
+// thaw follows a time in which this process did not run: silence of others proves
+// nothing, and others may have taken this member for dead.
+func (n *Node) thaw(now time.Time, gap time.Duration) {
+	n.events = append(n.events, Event{Kind: Frozen, Gap: gap})
+	clear(n.probes)
+	for _, r := range n.records {
+		if r.Liveness == Suspect {
+			r.since = now
+		}
+	}
+	n.nextJoin = now
+	n.restate(now)
+}
+
+// SetBackend announces a new state of this agent's backend server.
+func (n *Node) SetBackend(now time.Time, b Backend) ([]Send, []Event) {
+	if b != n.self.Backend {
+		n.self.Backend = b
+		n.restate(now)
+	}
+	return n.take()
+}
+
+// Leave announces that this process is about to end.
+func (n *Node) Leave(now time.Time) ([]Send, []Event) {
+	n.self.Liveness = Leaving
+	n.restate(now)
+	return n.take()
+}
+
+// SetLoad replaces the source of this member's load.
+func (n *Node) SetLoad(load func() Load) { n.cfg.Load = load }
+
+// AddSeeds adds members to contact, such as those listed in the platform's store.
+func (n *Node) AddSeeds(seeds []netip.AddrPort) {
+	for _, seed := range seeds {
+		if seed != n.self.Addr && !slices.Contains(n.cfg.Seeds, seed) {
+			n.cfg.Seeds = append(slices.Clone(n.cfg.Seeds), seed)
+		}
+	}
+}
+
+// SetSeeds replaces the members to contact first, after the settings changed.
+func (n *Node) SetSeeds(seeds []netip.AddrPort) { n.cfg.Seeds = slices.Clone(seeds) }
+
+// Joined reports whether another member has answered with its table.
+func (n *Node) Joined() bool { return n.joined }
+
+// Self returns this member's own statement.
+func (n *Node) Self() Member { return n.self.Member }
+
+// Generation changes whenever the table changes.
+func (n *Node) Generation() uint64 { return n.generation }
+
+// Members returns all statements in the order of their addresses, dead members included.
+func (n *Node) Members() []Member {
+	members := make([]Member, 0, len(n.records))
+	for _, r := range n.records {
+		members = append(members, r.Member)
+	}
+	slices.SortFunc(members, func(a, b Member) int { return a.Addr.Compare(b.Addr) })
+	return members
+}
+
+// restate spreads a new statement of this member about itself.
+func (n *Node) restate(now time.Time) {
+	n.self.Revision++
+	n.replace(now, n.self, n.self.Member)
+	n.spread(n.self.Addr)
+}
+
+// replace puts a statement in force.
+func (n *Node) replace(now time.Time, r *record, m Member) {
+	n.sum ^= r.sumCache
+	r.Member = m
+	r.sumCache = m.sum()
+	r.since = now
+	n.sum ^= r.sumCache
+	n.generation++
+}
+
+// learn takes a statement of another member into the table and reports whether it was new.
+func (n *Node) learn(now time.Time, m Member) bool {
+	if m.Addr == n.self.Addr {
+		n.refute(now, m)
+		return false
+	}
+	r := n.records[m.Addr]
+	if r == nil {
+		if m.Liveness == Dead {
+			return false // news of somebody who was never met here
+		}
+		r = &record{}
+		n.records[m.Addr] = r
+		n.insertProbe(m.Addr)
+	} else if !Supersedes(&m, &r.Member) {
+		return false
+	}
+	n.replace(now, r, m)
+	n.events = append(n.events, Event{Kind: MemberChanged, Member: m})
+	n.spread(m.Addr)
+	return true
+}
+
+// refute answers a statement about this member that others hold against it.
+func (n *Node) refute(now time.Time, m Member) {
+	if !Supersedes(&m, &n.self.Member) {
+		return
+	}
+	n.self.Incarnation = max(n.self.Incarnation, m.Incarnation)
+	n.self.Revision = max(n.self.Revision, m.Revision)
+	if m.Incarnation > n.cfg.Self.Incarnation {
+		n.self.Incarnation = m.Incarnation + 1
+	}
+	n.events = append(n.events, Event{Kind: Refuted, Member: m})
+	n.restate(now)
+}
+
+// insertProbe puts a new member at a random place of the probing order.
+func (n *Node) insertProbe(a netip.AddrPort) {
+	at := n.cfg.Rand.IntN(len(n.order) + 1)
+	n.order = slices.Insert(n.order, at, a)
+}
+
+// spread passes a change on at once and queues it for later messages.
+func (n *Node) spread(a netip.AddrPort) {
+	n.queue = slices.DeleteFunc(n.queue, func(q news) bool { return q.addr == a })
+	repeats := repeatsPerDoubling*bits.Len(uint(len(n.records))) + newsFanout
+	n.queue = append(n.queue, news{addr: a, left: repeats})
+	m := n.message(typeNews)
+	m.Members = n.takeNews()
+	n.sendTo(m, n.pick(newsFanout, a)...)
+}
+
+// takeNews returns changes to add to one message; those sent often enough are forgotten.
+func (n *Node) takeNews() []Member {
+	var members []Member
+	for i := range n.queue {
+		if len(members) == maxDatagramMembers/2 {
+			break
+		}
+		// The newest news stands last and goes first.
+		q := &n.queue[len(n.queue)-1-i]
+		if r := n.records[q.addr]; r != nil {
+			members = append(members, r.Member)
+		}
+		q.left--
+	}
+	n.queue = slices.DeleteFunc(n.queue, func(q news) bool { return q.left <= 0 })
+	return members
+}
+
+// pick returns up to count random members that are believed to run, without skip.
+func (n *Node) pick(count int, skip netip.AddrPort) []netip.AddrPort {
+	var chosen []netip.AddrPort
+	for range pickTries {
+		if len(n.order) == 0 || len(chosen) == count {
+			break
+		}
+		a := n.order[n.cfg.Rand.IntN(len(n.order))]
+		r := n.records[a]
+		if a != skip && r != nil && r.Liveness <= Suspect && !slices.Contains(chosen, a) {
+			chosen = append(chosen, a)
+		}
+	}
+	return chosen
+}
+
+// Announce tells random members at once, because a newer desired state is in force here.
+func (n *Node) Announce() ([]Send, []Event) {
+	n.sendTo(n.message(typeNews), n.pick(newsFanout, n.self.Addr)...)
+	return n.take()
+}
+
+func (n *Node) message(t messageType) *message {
+	version, age := n.cfg.Version()
+	return &message{
+		Type:    t,
+		From:    n.self.Member,
+		Load:    n.cfg.Load(),
+		Sum:     n.sum,
+		Version: version,
+		AgeMS:   uint32(min(age.Milliseconds(), math.MaxUint32)),
+	}
+}
+
+func (n *Node) sendTo(m *message, to ...netip.AddrPort) {
+	if len(to) == 0 {
+		return
+	}
+	payload, err := encode(m)
+	if err != nil {
+		return // a message of this package always encodes; tests hold that
+	}
+	for _, a := range to {
+		n.out = append(n.out, Send{To: a, Payload: payload})
+	}
+}
+
+func (n *Node) take() ([]Send, []Event) {
+	out, events := n.out, n.events
+	n.out, n.events = nil, nil
+	return out, events
+}
--- /dev/null
+++ b/internal/fleet/probe.go
@@ -0,0 +1,146 @@
+package fleet
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// probe is a member that was asked for an answer.
+type probe struct {
+	target netip.AddrPort
+	sent   time.Time
+	// helped is set once other members were asked to probe too.
+	helped bool
+}
+
+// relay is a probe that this node makes for another member.
+type relay struct {
+	asker    netip.AddrPort
+	sequence uint32
+	until    time.Time
+}
+
+// startProbe asks the next member for an answer. Each member is asked once in a
+// round, and the order is drawn anew for each round.
+func (n *Node) startProbe(now time.Time) {
+	for range len(n.order) {
+		if n.next >= len(n.order) {
+			n.next = 0
+			n.cfg.Rand.Shuffle(len(n.order), func(i, j int) { n.order[i], n.order[j] = n.order[j], n.order[i] })
+		}
+		target := n.order[n.next]
+		n.next++
+		if r := n.records[target]; r != nil && r.Liveness != Dead {
+			n.Probe(now, target)
+			return
+		}
+	}
+}
+
+// Probe asks one member for an answer now, because something else made it look silent.
+func (n *Node) Probe(now time.Time, target netip.AddrPort) {
+	for _, p := range n.probes {
+		if p.target == target {
+			return
+		}
+	}
+	n.sequence++
+	n.probes[n.sequence] = &probe{target: target, sent: now}
+	m := n.message(typePing)
+	m.Sequence = n.sequence
+	m.Members = n.takeNews()
+	if r := n.records[target]; r != nil && r.Liveness == Suspect {
+		// A suspect must hear of the suspicion to be able to object.
+		m.Members = append(m.Members, r.Member)
+	}
+	n.sendTo(m, target)
+}
+
+// Flush returns what Probe made this node send.
+func (n *Node) Flush() ([]Send, []Event) { return n.take() }
+
+func (n *Node) checkProbes(now time.Time) {
+	for sequence, p := range n.probes {
+		waited := now.Sub(p.sent)
+		if waited >= indirectTimeout {
+			delete(n.probes, sequence)
+			n.suspect(now, p.target)
+			continue
+		}
+		if waited >= directTimeout && !p.helped {
+			p.helped = true
+			m := n.message(typePingRequest)
+			m.Sequence = sequence
+			m.Target = p.target
+			n.sendTo(m, n.pick(indirectProbes, p.target)...)
+		}
+	}
+	for sequence, r := range n.relays {
+		if now.After(r.until) {
+			delete(n.relays, sequence)
+		}
+	}
+}
+
+func (n *Node) suspect(now time.Time, a netip.AddrPort) {
+	r := n.records[a]
+	if r == nil || r.Liveness >= Suspect {
+		return
+	}
+	m := r.Member
+	m.Liveness = Suspect
+	n.learn(now, m)
+}
+
+// checkSuspects declares suspects dead that did not object, and forgets the dead.
+func (n *Node) checkSuspects(now time.Time) {
+	for a, r := range n.records {
+		age := now.Sub(r.since)
+		switch {
+		case r == n.self:
+		case (r.Liveness == Suspect || r.Liveness == Leaving) && age >= suspectTimeout:
+			m := r.Member
+			m.Liveness = Dead
+			n.learn(now, m)
+		case r.Liveness == Dead && age >= forgetTimeout:
+			n.sum ^= r.sumCache
+			delete(n.records, a)
+			n.order = slices.DeleteFunc(n.order, func(o netip.AddrPort) bool { return o == a })
+			n.generation++
+		}
+	}
+}
+
+// contactSeeds asks the seeds for their tables until one has answered, and later
+// from time to time those that are not known as alive.
+func (n *Node) contactSeeds(now time.Time) {
+	period := joinPeriod
+	if n.joined {
+		period = rejoinPeriod
+	}
+	n.nextJoin = now.Add(period)
+	m := n.message(typeTable)
+	m.Ask = true
+	for _, seed := range n.cfg.Seeds {
+		r := n.records[seed]
+		if seed == n.self.Addr || (n.joined && r != nil && r.Liveness < Suspect) {
+			continue
+		}
+		n.sendTo(m, seed)
+	}
+	if n.joined {
+		n.knockAtDead(m)
+	}
+}
+
+// knockAtDead sends to one random member taken for dead, in case only a cut was between.
+func (n *Node) knockAtDead(m *message) {
+	if len(n.order) == 0 {
+		return
+	}
+	a := n.order[n.cfg.Rand.IntN(len(n.order))]
+	if r := n.records[a]; r != nil && r.Liveness == Dead {
+		n.sendTo(m, a)
+	}
+}
--- /dev/null
+++ b/internal/flow/flow.go
@@ -0,0 +1,128 @@
+// Package flow describes the packets of callers' flows as the balancers and
+// agents see them: two ends, sequence numbers and flags. What a packet carries is
+// readable only at its two ends.
+package flow
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Endpoint is an IPv4 address and port, in six bytes: tables hold many of them.
+type Endpoint struct {
+	IP   [4]byte
+	Port uint16
+}
+
+// EndpointOf converts an IPv4 address and port. Other addresses give the zero Endpoint.
+func EndpointOf(a netip.AddrPort) Endpoint {
+	ip := a.Addr().Unmap()
+	if !ip.Is4() {
+		return Endpoint{}
+	}
+	return Endpoint{IP: ip.As4(), Port: a.Port()}
+}
+
+// AddrPort returns the endpoint as a socket address.
+func (e Endpoint) AddrPort() netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4(e.IP), e.Port)
+}
+
+// String returns the endpoint as address:port.
+func (e Endpoint) String() string { return e.AddrPort().String() }
+
+// Key identifies a flow: the caller's end, and the address that the caller called.
+type Key struct {
+	Caller, Front Endpoint
+}
+
+// KeySize is the size of an encoded key, in bytes.
+const KeySize = 12
+
+// AppendTo appends the encoded key to b.
+func (k Key) AppendTo(b []byte) []byte {
+	b = append(b, k.Caller.IP[:]...)
+	b = binary.BigEndian.AppendUint16(b, k.Caller.Port)
+	b = append(b, k.Front.IP[:]...)
+	return binary.BigEndian.AppendUint16(b, k.Front.Port)
+}
+
+// DecodeKey reads a key from the first KeySize bytes of b.
+func DecodeKey(b []byte) Key {
+	var k Key
+	copy(k.Caller.IP[:], b[0:4])
+	k.Caller.Port = binary.BigEndian.Uint16(b[4:6])
+	copy(k.Front.IP[:], b[6:10])
+	k.Front.Port = binary.BigEndian.Uint16(b[10:12])
+	return k
+}
+
+// Hash returns a hash that is the same in all processes.
+func (k Key) Hash() uint64 {
+	var buf [KeySize]byte
+	return xxhash.Sum64(k.AppendTo(buf[:0]))
+}
+
+// String returns the key as logs show it: caller's end, then the called address.
+func (k Key) String() string {
+	return k.Caller.String() + ">" + k.Front.IP4() + ":" + strconv.Itoa(int(k.Front.Port))
+}
+
+// IP4 returns the address without its port.
+func (e Endpoint) IP4() string { return netip.AddrFrom4(e.IP).String() }
+
+// Flags are the control bits of a packet.
+type Flags uint8
+
+// Control bits, in the order of TCP's meaning rather than of any wire format.
+const (
+	SYN Flags = 1 << iota
+	ACK
+	FIN
+	RST
+	// Returned marks a caller's packet that a backend server handed back unread.
+	Returned
+)
+
+// Has reports whether all bits of want are set.
+func (f Flags) Has(want Flags) bool { return f&want == want }
+
+// Packet is one parsed packet. Raw holds its bytes, which only a Codec may change.
+type Packet struct {
+	Src, Dst Endpoint
+	Flags    Flags
+	// Seq and Ack count bytes, modulo 2^32. Ack of an opening packet is the number of
+	// the copy, from zero.
+	Seq, Ack uint32
+	// Length is the size of the data, in bytes.
+	Length int
+	// Cookie is a number that an agent gave the packet on its way to the backend
+	// server and gets back with a returned packet; zero when none.
+	Cookie uint32
+	Raw    []byte
+}
+
+// Opens reports whether the packet asks to open a flow.
+func (p *Packet) Opens() bool { return p.Flags.Has(SYN) && !p.Flags.Has(ACK) }
+
+// CallerKey returns the flow of a packet that a caller sent.
+func (p *Packet) CallerKey() Key { return Key{Caller: p.Src, Front: p.Dst} }
+
+// BackendKey returns the flow of a packet that a backend server sent.
+func (p *Packet) BackendKey() Key { return Key{Caller: p.Dst, Front: p.Src} }
+
+// Codec reads packets, and makes the few changes to them that are allowed.
+type Codec interface {
+	// Parse reads raw, which the packet then aliases. An error of kind Invalid
+	// means that raw is not a packet.
+	Parse(raw []byte) (Packet, error)
+	// SetCookie writes a number that comes back if the backend server returns raw.
+	SetCookie(raw []byte, cookie uint32)
+	// Restore removes the cookie and the Returned mark, so that raw is as the caller wrote it.
+	Restore(raw []byte)
+	// Reset returns a packet that ends or refuses the flow of key towards its caller.
+	Reset(key Key, seq uint32) []byte
+}
--- /dev/null
+++ b/internal/flowagent/claim.go
@@ -0,0 +1,71 @@
+package flowagent
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/almondledge/almondledge/internal/flow"
+	"github.com/almondledge/almondledge/internal/flowtable"
+	"github.com/almondledge/almondledge/internal/hop"
+)
+
+// HandleClaim notes that another agent has some flows.
+func (a *Agent) HandleClaim(c hop.Claim) {
+	for _, key := range c.Keys {
+		a.claims.Add(key, claimed{owner: c.Owner, born: c.Born})
+	}
+}
+
+// claim tells the homes of one flow that this agent has it.
+func (a *Agent) claim(key flow.Key, e *flowtable.Entry) []hop.Send {
+	homes := a.cfg.Board.Homes(key, homesTold)
+	e.HomesHash = homesHash(homes)
+	var sends []hop.Send
+	for _, home := range homes {
+		if home != a.cfg.Self {
+			c := hop.Claim{Owner: a.self, Born: a.backend.Born, Keys: []flow.Key{key}}
+			sends = append(sends, hop.Send{To: home, Payload: c.AppendTo(nil)})
+		}
+	}
+	return sends
+}
+
+// claimAll tells the homes of all flows whose homes are not those told before.
+func (a *Agent) claimAll() []hop.Send {
+	pending := map[netip.AddrPort][]flow.Key{}
+	a.flows.Visit(func(key flow.Key, e *flowtable.Entry) {
+		homes := a.cfg.Board.Homes(key, homesTold)
+		hash := homesHash(homes)
+		if e.Phase == flowtable.Opening || hash == e.HomesHash {
+			return
+		}
+		e.HomesHash = hash
+		for _, home := range homes {
+			if home != a.cfg.Self {
+				pending[home] = append(pending[home], key)
+			}
+		}
+	})
+	var sends []hop.Send
+	for home, keys := range pending {
+		for chunk := range slices.Chunk(keys, hop.MaxClaims) {
+			c := hop.Claim{Owner: a.self, Born: a.backend.Born, Keys: chunk}
+			sends = append(sends, hop.Send{To: home, Payload: c.AppendTo(nil)})
+		}
+	}
+	return sends
+}
+
+// homesHash folds a set of homes into a number that changes with it (FNV-1a).
+func homesHash(homes []netip.AddrPort) uint32 {
+	const offset, prime = 2166136261, 16777619
+	hash := uint32(offset)
+	for _, home := range homes {
+		ip := home.Addr().As4()
+		for _, b := range ip {
+			hash = (hash ^ uint32(b)) * prime
+		}
+		hash = (hash ^ uint32(home.Port())) * prime
+	}
+	return hash
+}
--- /dev/null
+++ b/internal/flowagent/flowagent.go
@@ -0,0 +1,227 @@
+// Package flowagent decides, at an agent, which packets its backend server gets.
+// The agent sees every packet to and from its backend server, so it alone knows
+// which flows are open there. Balancers may be wrong about that: the agent hands
+// over what belongs to its backend server and passes on the rest.
+package flowagent
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/almondledge/almondledge/internal/fleet"
+	"github.com/almondledge/almondledge/internal/flow"
+	"github.com/almondledge/almondledge/internal/flowtable"
+	"github.com/almondledge/almondledge/internal/hop"
+	"github.com/almondledge/almondledge/internal/placement"
+	"github.com/almondledge/almondledge/internal/route"
+)
+
+// Outcome is what became of a packet.
+type Outcome uint8
+
+// Outcomes.
+const (
+	// Malformed packets are dropped.
+	Malformed Outcome = iota
+	// Delivered packets went to the backend server that holds their flow.
+	Delivered
+	// Opened packets asked the backend server to open a flow.
+	Opened
+	// Probed packets went to the backend server because this process is younger than
+	// the flows that it may hold.
+	Probed
+	// Passed packets went to another agent.
+	Passed
+	// Refused opening packets were answered with a reset: no backend server took them.
+	Refused
+	// Ended packets were answered with a reset: the flow's backend server is gone.
+	Ended
+	// Lost packets were dropped: no agent that was asked has their flow.
+	Lost
+	// Replied packets went from the backend server to the caller.
+	Replied
+)
+
+// Outcomes lists the names of all outcomes, for metrics.
+var Outcomes = [...]string{"malformed", "delivered", "opened", "probed", "passed", "refused", "ended", "lost", "replied"}
+
+// String returns the outcome as logs show it.
+func (o Outcome) String() string { return Outcomes[o] }
+
+// Reply is a packet for a caller.
+type Reply struct {
+	Caller flow.Endpoint
+	Packet []byte
+}
+
+// Decision is what to do with a packet.
+type Decision struct {
+	Outcome Outcome
+	Key     flow.Key
+	// Reason says in a word why the packet was not simply delivered.
+	Reason string
+	// Backend is set when the packet, as changed in place, goes to the backend server.
+	Backend []byte
+	Replies []Reply
+	Sends   []hop.Send
+}
+
+// Sizes of the agent's tables.
+const (
+	// flowTableSize bounds the flows of one backend server.
+	flowTableSize = 16384
+	// claimTableSize bounds the flows of other agents that this one keeps track of.
+	claimTableSize = 32768
+	// foreignTableSize bounds the flows that the backend server is known not to hold.
+	foreignTableSize = 8192
+	// cookies is the number of packets at the backend server whose way is remembered.
+	cookies = 4096
+	// homesTold is the number of agents that are told of a flow's owner.
+	homesTold = 2
+)
+
+// Times of the agent.
+const (
+	// foreignTime is how long the backend server is not asked again about a flow that
+	// it did not hold.
+	foreignTime = 5 * time.Second
+	// bornMargin is how much younger than its backend server this process may be
+	// without having missed any flow.
+	bornMargin = 200 * time.Millisecond
+	// defaultIdleTimeout holds while no desired state is in force.
+	defaultIdleTimeout = 30 * time.Second
+	// idleMargin keeps flows a little longer than their idle timeout, because the
+	// backend server's clock decides.
+	idleMargin = 5 * time.Second
+)
+
+// Config describes an agent.
+type Config struct {
+	// Self is the address at which other members reach the agent.
+	Self netip.AddrPort
+	// Service is the service of the backend server.
+	Service string
+	// FlowLifetime is the age from which a flow may be forgotten; before that, a new
+	// process must reckon with flows that it has not seen begin.
+	FlowLifetime time.Duration
+	Codec        flow.Codec
+	Board        *placement.Board
+}
+
+// claimed is what this agent knows of a flow at another one.
+type claimed struct {
+	owner flow.Endpoint
+	born  int64
+}
+
+// journey is the way of a packet that is at the backend server.
+type journey struct {
+	cookie  uint32
+	forward hop.Forward
+}
+
+// Agent routes packets beside one backend server. It is not safe for concurrent use.
+type Agent struct {
+	cfg     Config
+	self    flow.Endpoint
+	started time.Time
+	// startedUnix is the start in Unix milliseconds, to compare with Backend.Born.
+	startedUnix int64
+	backend     fleet.Backend
+	routes      *route.Table
+	flows       *flowtable.Table
+	claims      *simplelru.LRU[flow.Key, claimed]
+	foreign     *simplelru.LRU[flow.Key, time.Time]
+	journeys    [cookies]journey
+	lastCookie  uint32
+}
+
+// New returns an agent that starts at time now.
+func New(now time.Time, cfg Config) *Agent {
+	return &Agent{
+		cfg:         cfg,
+		self:        flow.EndpointOf(cfg.Self),
+		started:     now,
+		startedUnix: now.UnixMilli(),
+		backend:     fleet.Backend{Service: cfg.Service},
+		flows:       flowtable.New(flowTableSize),
+		claims:      newLRU[claimed](claimTableSize),
+		foreign:     newLRU[time.Time](foreignTableSize),
+	}
+}
+
+func newLRU[V any](size int) *simplelru.LRU[flow.Key, V] {
+	l, err := simplelru.NewLRU[flow.Key, V](size, nil)
+	if err != nil {
+		panic(err) // only a size below one is refused, which is a fault of the program
+	}
+	return l
+}
+
+// SetRoutes puts a desired state in force.
+func (a *Agent) SetRoutes(t *route.Table) { a.routes = t }
+
+// Backend returns what is known of the backend server.
+func (a *Agent) Backend() fleet.Backend { return a.backend }
+
+// Load returns how busy the backend server is.
+func (a *Agent) Load() fleet.Load {
+	return fleet.Load{Flows: uint16(min(a.flows.Open(), 65535)), Active: uint16(min(a.flows.Active(), 65535))}
+}
+
+// Flows returns the number of remembered flows, and Claims that of other agents' flows.
+func (a *Agent) Flows() int { return a.flows.Len() }
+
+// Claims returns the number of other agents' flows that this agent keeps track of.
+func (a *Agent) Claims() int { return a.claims.Len() }
+
+// SetBackend takes over a new state of the backend server. If another one has
+// started, or it is gone, the callers of its flows are told at once.
+func (a *Agent) SetBackend(b fleet.Backend) Decision {
+	b.Service = a.cfg.Service
+	restarted := a.backend.Born != 0 && b.Born != 0 && b.Born != a.backend.Born
+	gone := b.State == fleet.BackendGone && a.backend.State != fleet.BackendGone
+	a.backend = b
+	d := Decision{Outcome: Ended}
+	if !restarted && !gone {
+		return d
+	}
+	a.flows.Visit(func(key flow.Key, e *flowtable.Entry) {
+		if restarted && e.Began() >= b.Born {
+			return // opened at the new backend server before its first report
+		}
+		if e.Phase == flowtable.Open {
+			d.Replies = append(d.Replies, Reply{key.Caller, a.cfg.Codec.Reset(key, e.CallerAck)})
+		}
+		a.flows.Remove(key)
+	})
+	return d
+}
+
+// Tick forgets old flows, and tells the homes of flows whose homes have changed.
+func (a *Agent) Tick(now time.Time, homesChanged bool) []hop.Send {
+	idle := a.routes.IdleTimeout()
+	if idle == 0 {
+		idle = defaultIdleTimeout
+	}
+	a.flows.Expire(now, idle+idleMargin)
+	if !homesChanged {
+		return nil
+	}
+	return a.claimAll()
+}
+
+// mayHoldUnseen reports whether the backend server may hold flows that this process
+// has not seen begin, because the process is younger.
+func (a *Agent) mayHoldUnseen(now time.Time, key flow.Key) bool {
+	if a.backend.State == fleet.BackendGone || now.Sub(a.started) > a.cfg.FlowLifetime {
+		return false
+	}
+	if a.backend.Born != 0 && a.startedUnix-a.backend.Born < bornMargin.Milliseconds() {
+		return false
+	}
+	until, known := a.foreign.Peek(key)
+	return !known || now.After(until)
+}
--- /dev/null
+++ b/internal/flowagent/report.go
@@ -0,0 +1,92 @@
+package flowagent
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/fleet"
+)
+
+// Report is what a backend server says of itself, again and again.
+type Report struct {
+	// ID names the backend server; a restarted one may keep its ID.
+	ID      string
+	Service string
+	State   fleet.BackendState
+	// Born is its start in Unix milliseconds.
+	Born  int64
+	Slots uint16
+	// WarmupLeft is how much longer it is slow.
+	WarmupLeft time.Duration
+	// Sequence increases with each report of one start.
+	Sequence int64
+}
+
+// leaveDelay is the time from a backend server's last word to its being taken as
+// gone. It may still be ending when the word arrives, and its flows must not be
+// reset before.
+const leaveDelay = 400 * time.Millisecond
+
+// Reports follows the reports of one backend server, some of which are late or
+// not its own. It is not safe for concurrent use.
+type Reports struct {
+	service   string
+	id        string
+	backend   fleet.Backend
+	sequence  int64
+	warmUntil time.Time
+	goneAt    time.Time
+}
+
+// NewReports returns the follower of a backend server of service.
+func NewReports(service string) *Reports {
+	return &Reports{service: service, backend: fleet.Backend{Service: service}}
+}
+
+// Take returns the state of the backend server after a report. An error of kind
+// Invalid means that the report is of another backend server, one of kind Stale
+// that a newer one was taken before.
+func (r *Reports) Take(now time.Time, report Report) (fleet.Backend, error) {
+	if report.Service != r.service {
+		return r.backend, errkind.New(errkind.Invalid,
+			fmt.Sprintf("report of service %q at an agent of %q", report.Service, r.service), "send reports to the agent on the same instance only")
+	}
+	if report.Born < r.backend.Born || (report.Born == r.backend.Born && report.Sequence <= r.sequence) {
+		return r.backend, errkind.New(errkind.Stale,
+			fmt.Sprintf("report %d of the start at %d is older than report %d of the start at %d", report.Sequence, report.Born, r.sequence, r.backend.Born),
+			"none needed: the newer report holds")
+	}
+	r.id = report.ID
+	r.sequence = report.Sequence
+	r.goneAt = time.Time{}
+	r.warmUntil = now.Add(report.WarmupLeft)
+	r.backend.State = report.State
+	r.backend.Born = report.Born
+	r.backend.Slots = report.Slots
+	r.backend.Warming = report.WarmupLeft > 0
+	return r.backend, nil
+}
+
+// Leave notes that the backend server with an ID is ending. The word of another
+// one changes nothing.
+func (r *Reports) Leave(now time.Time, id string) fleet.Backend {
+	if id != r.id || r.backend.State == fleet.BackendGone {
+		return r.backend
+	}
+	r.backend.State = fleet.BackendDraining
+	r.goneAt = now.Add(leaveDelay)
+	return r.backend
+}
+
+// Review returns the state of the backend server and whether time alone has changed it.
+func (r *Reports) Review(now time.Time) (fleet.Backend, bool) {
+	before := r.backend
+	if r.backend.Warming && !now.Before(r.warmUntil) {
+		r.backend.Warming = false
+	}
+	if !r.goneAt.IsZero() && !now.Before(r.goneAt) {
+		r.backend.State = fleet.BackendGone
+	}
+	return r.backend, r.backend != before
+}
--- /dev/null
+++ b/internal/flowproc/agent.go
@@ -0,0 +1,228 @@
+package flowproc
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/fleet"
+	"github.com/almondledge/almondledge/internal/flowagent"
+	"github.com/almondledge/almondledge/internal/hop"
+	"github.com/almondledge/almondledge/internal/route"
+	"github.com/almondledge/almondledge/internal/statesync"
+	"github.com/almondledge/almondledge/internal/udpbatch"
+)
+
+const (
+	// reclaimPeriod bounds how often the homes of all flows are looked at after a
+	// change of members.
+	reclaimPeriod = 100 * time.Millisecond
+	// agentDrainTime is how long an agent that was told to stop still passes packets on,
+	// so that balancers hear of it first.
+	agentDrainTime = 250 * time.Millisecond
+)
+
+// Agent is a running agent beside a backend server.
+type Agent struct {
+	*core
+	cfg         AgentConfig
+	fromBackend udpbatch.Conn
+	agent       *flowagent.Agent
+	reports     *flowagent.Reports
+	reclaim     bool
+	nextReclaim time.Time
+}
+
+// NewAgent binds the sockets of an agent.
+func NewAgent(cfg AgentConfig, opt Options) (*Agent, error) {
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	a := &Agent{cfg: cfg, reports: flowagent.NewReports(cfg.Service)}
+	self := fleet.Member{Role: fleet.Agent, Backend: fleet.Backend{Service: cfg.Service}}
+	var err error
+	if a.core, err = newCore(cfg.Common, opt, self, statesync.AgentPatience); err != nil {
+		return nil, err
+	}
+	a.core.role = a
+	a.metrics.setOutcomes(flowagent.Outcomes[:])
+	a.agent = flowagent.New(time.Now(), flowagent.Config{
+		Self: cfg.Peer, Service: cfg.Service, FlowLifetime: cfg.FlowLifetime, Codec: opt.Codec, Board: a.board,
+	})
+	a.node.SetLoad(a.agent.Load)
+	a.registerGauges()
+	a.fromBackend, err = opt.Network.ListenUDP(cfg.FromBackend)
+	return a, err
+}
+
+func (a *Agent) registerGauges() {
+	gauge := func(name string, value func() int) {
+		a.metrics.telemetry.Set().NewGauge(name, func() float64 {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			return float64(value())
+		})
+	}
+	gauge("almondledge_flows", a.agent.Flows)
+	gauge("almondledge_claims", a.agent.Claims)
+	gauge("almondledge_open_flows", func() int { return int(a.agent.Load().Flows) })
+	gauge("almondledge_active_requests", func() int { return int(a.agent.Load().Active) })
+}
+
+// Run passes packets until ctx ends, or until shortly after drain ends.
+func (a *Agent) Run(ctx, drain context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	a.start(ctx, group)
+	context.AfterFunc(ctx, func() { a.fromBackend.Close() })
+	group.Go(func() error { return a.readBackend(ctx) })
+	group.Go(func() error { return a.serveMetrics(ctx) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-drain.Done():
+			a.leave()
+			a.log.event("leaving", fields{"drain_time": agentDrainTime})
+			waitFor(ctx, agentDrainTime)
+		}
+		cancel()
+		return nil
+	})
+	a.log.event("started", fields{"backend": a.cfg.Backend, "service_of_backend": a.cfg.Service, "seeds": a.cfg.Seeds})
+	err := group.Wait()
+	a.log.event("stopped", fields{})
+	return err
+}
+
+// Report takes a report of the backend server, and returns an error of kind
+// Invalid or Stale if it says nothing new about the backend server of this agent.
+func (a *Agent) Report(r flowagent.Report) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	b, err := a.reports.Take(now, r)
+	if err != nil {
+		a.log.failure("report of the backend server ignored", err, fields{"backend_id": r.ID, "sequence": r.Sequence, "born": r.Born})
+		return err
+	}
+	a.setBackend(now, b, r.ID)
+	return nil
+}
+
+// Leave notes that the backend server is ending.
+func (a *Agent) Leave(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	a.setBackend(now, a.reports.Leave(now, id), id)
+}
+
+// setBackend follows a new state of the backend server.
+func (a *Agent) setBackend(now time.Time, b fleet.Backend, id string) {
+	before := a.agent.Backend()
+	b.Service = a.cfg.Service
+	if b == before {
+		return
+	}
+	a.log.event("backend server changed", fields{"backend_id": id, "from": before.State, "to": b.State, "born": b.Born, "warming": b.Warming, "slots": b.Slots})
+	d := a.agent.SetBackend(b)
+	for _, reply := range d.Replies {
+		a.metrics.outcomes[flowagent.Ended].Inc()
+		a.reply(reply.Caller, reply.Packet)
+	}
+	if len(d.Replies) > 0 {
+		a.log.event("flows of an earlier backend server reset", fields{"flows": len(d.Replies), "born": before.Born})
+	}
+	sends, _ := a.node.SetBackend(now, b)
+	for _, s := range sends {
+		a.sendMembership(s)
+	}
+	a.refreshBoard(now)
+}
+
+func (a *Agent) readBackend(ctx context.Context) error {
+	reader := a.fromBackend.NewReader()
+	for {
+		count, err := reader.Read()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return errkind.Wrap(err, errkind.Unavailable, "cannot read the backend server's socket", "check that the address belongs to this instance")
+		}
+		a.mu.Lock()
+		now := time.Now()
+		for i := range count {
+			a.carryOut(now, a.agent.HandleBackend(now, reader.Datagram(i)))
+		}
+		a.mu.Unlock()
+	}
+}
+
+// carryOut does what was decided about a packet.
+func (a *Agent) carryOut(now time.Time, d flowagent.Decision) {
+	a.metrics.outcomes[d.Outcome].Inc()
+	if d.Backend != nil {
+		if err := a.fromBackend.WriteTo(d.Backend, a.cfg.Backend); err != nil {
+			a.metrics.sendErrors.Inc()
+		}
+	}
+	for _, r := range d.Replies {
+		a.reply(r.Caller, r.Packet)
+	}
+	for _, s := range d.Sends {
+		a.send(s.To, s.Payload)
+	}
+	switch d.Outcome {
+	case flowagent.Opened:
+		a.log.flow(now, d.Key, d.Outcome.String(), false, fields{"open": a.agent.Load().Flows, "active": a.agent.Load().Active, "version": a.follower.Table().Version()})
+	case flowagent.Refused, flowagent.Ended, flowagent.Lost, flowagent.Probed:
+		a.log.flow(now, d.Key, d.Outcome.String(), true, fields{"reason": d.Reason, "backend": a.agent.Backend().State, "born": a.agent.Backend().Born})
+	case flowagent.Passed:
+		a.log.flow(now, d.Key, d.Outcome.String(), true, fields{"reason": d.Reason, "to": d.Sends[len(d.Sends)-1].To, "version": a.follower.Table().Version()})
+	}
+}
+
+func (a *Agent) membersChanged(time.Time) { a.reclaim = true }
+
+func (a *Agent) routesChanged(t *route.Table) { a.agent.SetRoutes(t) }
+
+func (a *Agent) handlePeer(now time.Time, _ netip.AddrPort, datagram []byte) {
+	switch hop.Type(datagram[0]) {
+	case hop.TypeForward:
+		f, err := hop.DecodeForward(datagram)
+		if err != nil {
+			a.metrics.badDatagrams.Inc()
+			return
+		}
+		a.metrics.hops.Update(float64(len(f.Visited)))
+		a.carryOut(now, a.agent.HandleForward(now, f))
+	case hop.TypeClaim:
+		c, err := hop.DecodeClaim(datagram)
+		if err != nil {
+			a.metrics.badDatagrams.Inc()
+			return
+		}
+		a.agent.HandleClaim(c)
+	default:
+		a.metrics.badDatagrams.Inc()
+	}
+}
+
+func (a *Agent) tick(now time.Time) {
+	reclaim := a.reclaim && !now.Before(a.nextReclaim)
+	if reclaim {
+		a.reclaim = false
+		a.nextReclaim = now.Add(reclaimPeriod)
+	}
+	for _, s := range a.agent.Tick(now, reclaim) {
+		a.send(s.To, s.Payload)
+	}
+	if b, changed := a.reports.Review(now); changed {
+		a.setBackend(now, b, "")
+	}
+}
--- /dev/null
+++ b/internal/flowproc/core.go
@@ -0,0 +1,312 @@
+package flowproc
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/fleet"
+	"github.com/almondledge/almondledge/internal/hop"
+	"github.com/almondledge/almondledge/internal/logging"
+	"github.com/almondledge/almondledge/internal/placement"
+	"github.com/almondledge/almondledge/internal/route"
+	"github.com/almondledge/almondledge/internal/statesync"
+	"github.com/almondledge/almondledge/internal/udpbatch"
+)
+
+// readTimeout bounds one read of the desired state from the store.
+const readTimeout = 900 * time.Millisecond
+
+// role is the part of a process that differs between balancers and agents. Its
+// methods are called with core.mu held.
+type role interface {
+	// membersChanged follows a new view of the members, which the board has already.
+	membersChanged(now time.Time)
+	// routesChanged follows a new desired state.
+	routesChanged(t *route.Table)
+	// handlePeer takes a datagram of another member that is not about membership.
+	handlePeer(now time.Time, from netip.AddrPort, datagram []byte)
+	// tick lets time pass.
+	tick(now time.Time)
+}
+
+// core is what balancers and agents have in common: membership, the desired state
+// and the sockets between processes.
+//
+// The lock mu guards all decisions of the process and is held for one decision. It
+// is not held while reading sockets, dialing or waiting; writes to UDP sockets do
+// not wait. No other lock is taken under it except that of the logger's buffer.
+type core struct {
+	cfg     Common
+	opt     Options
+	peer    udpbatch.Conn
+	streams net.Listener
+	metrics *counters
+	log     *eventLog
+	role    role
+
+	mu         sync.Mutex
+	node       *fleet.Node
+	board      *placement.Board
+	follower   *statesync.Follower
+	generation uint64
+	fetching   map[netip.AddrPort]bool
+	storeDown  bool
+	leaving    bool
+	started    time.Time
+}
+
+// newCore binds the sockets between processes.
+func newCore(cfg Common, opt Options, self fleet.Member, patience time.Duration) (*core, error) {
+	now := time.Now()
+	c := &core{
+		cfg:      cfg,
+		opt:      opt,
+		log:      newEventLog(opt),
+		board:    placement.NewBoard(cfg.Peer, cfg.DataCentre, opt.Rand),
+		follower: statesync.NewFollower(now, patience, opt.Rand),
+		fetching: map[netip.AddrPort]bool{},
+		started:  now,
+	}
+	self.Addr = cfg.Peer
+	self.DataCentre = cfg.DataCentre
+	self.Incarnation = uint64(now.UnixMilli())
+	c.node = fleet.New(now, fleet.Config{
+		Self:  self,
+		Seeds: cfg.Seeds,
+		Rand:  opt.Rand,
+		Version: func() (uint64, time.Duration) {
+			return c.follower.Table().Version(), c.follower.Age(time.Now())
+		},
+		Load: func() fleet.Load { return fleet.Load{} },
+	})
+	c.metrics = newCounters(c)
+	var err error
+	if c.peer, err = opt.Network.ListenUDP(cfg.Peer); err != nil {
+		return nil, err
+	}
+	if c.streams, err = opt.Network.ListenTCP(cfg.Peer); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// start adds the goroutines of the core to group; they end with ctx.
+func (c *core) start(ctx context.Context, group *errgroup.Group) {
+	context.AfterFunc(ctx, func() {
+		c.peer.Close()
+		c.streams.Close()
+	})
+	group.Go(func() error { return c.readPeers(ctx) })
+	group.Go(func() error {
+		statesync.Serve(c.streams, c.table)
+		return nil
+	})
+	group.Go(func() error { return c.tickLoop(ctx) })
+}
+
+// table returns the desired state in force, or nil.
+func (c *core) table() *route.Table {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.follower.Table()
+}
+
+func (c *core) tickLoop(ctx context.Context) error {
+	ticker := time.NewTicker(fleet.TickPeriod)
+	defer ticker.Stop()
+	c.tick(ctx, time.Now())
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			c.tick(ctx, time.Now())
+		}
+	}
+}
+
+func (c *core) tick(ctx context.Context, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.applyFleet(ctx, now)(c.node.Tick(now))
+	c.refreshBoard(now)
+	c.role.tick(now)
+	if c.follower.ShouldRead(now) {
+		go c.readStore(ctx, now)
+	}
+}
+
+// applyFleet returns a function that carries out what the membership decided.
+func (c *core) applyFleet(ctx context.Context, now time.Time) func([]fleet.Send, []fleet.Event) {
+	return func(sends []fleet.Send, events []fleet.Event) {
+		for _, s := range sends {
+			c.sendMembership(s)
+		}
+		for _, e := range events {
+			c.handleEvent(ctx, now, e)
+		}
+	}
+}
+
+func (c *core) sendMembership(s fleet.Send) {
+	datagram := make([]byte, 0, len(s.Payload)+1)
+	datagram = append(datagram, byte(hop.TypeMembership))
+	c.send(s.To, append(datagram, s.Payload...))
+}
+
+// send writes one datagram to another member. What is lost is made up for by
+// retransmissions of the flow or by later messages, so a failure is only counted.
+func (c *core) send(to netip.AddrPort, datagram []byte) {
+	c.metrics.peerBytes.Add(len(datagram))
+	if err := c.peer.WriteTo(datagram, to); err != nil {
+		c.metrics.sendErrors.Inc()
+	}
+}
+
+func (c *core) handleEvent(ctx context.Context, now time.Time, e fleet.Event) {
+	switch e.Kind {
+	case fleet.MemberChanged:
+		c.log.member(e.Member)
+	case fleet.Frozen:
+		c.log.event("process stood still", fields{"gap": e.Gap})
+	case fleet.Refuted:
+		c.log.event("objected to an older or false statement about this process", fields{"incarnation": e.Member.Incarnation, "held": e.Member.Liveness})
+	case fleet.LoadReported:
+		c.board.Report(e.Member.Addr, e.Load.Flows, e.Load.Active)
+	case fleet.VersionReported:
+		c.follower.Heard(now, e.Version, e.Age)
+		if e.Version > c.follower.Table().Version() && !c.fetching[e.Member.Addr] {
+			c.fetching[e.Member.Addr] = true
+			go c.fetchState(ctx, e.Member.Addr)
+		}
+	}
+}
+
+// refreshBoard rebuilds the view of the members after changes.
+func (c *core) refreshBoard(now time.Time) {
+	if generation := c.node.Generation(); generation != c.generation {
+		c.generation = generation
+		c.board.SetMembers(c.node.Members())
+		c.role.membersChanged(now)
+	}
+}
+
+func (c *core) readPeers(ctx context.Context) error {
+	reader := c.peer.NewReader()
+	for {
+		count, err := reader.Read()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return errkind.Wrap(err, errkind.Unavailable, "cannot read the socket between processes", "check that the peer address belongs to this instance")
+		}
+		c.mu.Lock()
+		now := time.Now()
+		for i := range count {
+			c.handleDatagram(ctx, now, reader.From(i), reader.Datagram(i))
+		}
+		c.mu.Unlock()
+	}
+}
+
+func (c *core) handleDatagram(ctx context.Context, now time.Time, from netip.AddrPort, datagram []byte) {
+	if len(datagram) == 0 {
+		c.metrics.badDatagrams.Inc()
+		return
+	}
+	if hop.Type(datagram[0]) != hop.TypeMembership {
+		c.role.handlePeer(now, from, datagram)
+		return
+	}
+	sends, events, err := c.node.Handle(now, from, datagram[1:])
+	if err != nil {
+		c.metrics.badDatagrams.Inc()
+		return
+	}
+	c.applyFleet(ctx, now)(sends, events)
+	c.refreshBoard(now)
+}
+
+// readStore reads the desired state from the store.
+func (c *core) readStore(ctx context.Context, begun time.Time) {
+	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	state, err := c.opt.States.ReadState(readCtx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		c.metrics.storeErrors.Inc()
+		c.follower.Failed(time.Now())
+		if !c.storeDown {
+			c.storeDown = true
+			c.log.failure("lost the platform's store; the state in force stays", err, fields{"version": c.follower.Table().Version(), "age": c.follower.Age(time.Now())})
+		}
+		return
+	}
+	c.metrics.storeReads.Inc()
+	if c.storeDown {
+		c.storeDown = false
+		c.log.event("platform's store answers again", fields{"version": state.Version})
+	}
+	if c.follower.Read(begun, state) {
+		c.stateInForce("store", time.Since(begun))
+	}
+}
+
+// fetchState gets a newer desired state from another process.
+func (c *core) fetchState(ctx context.Context, from netip.AddrPort) {
+	begun := time.Now()
+	have := c.table().Version()
+	state, err := statesync.Fetch(ctx, from, have)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.fetching, from)
+	if err != nil {
+		c.metrics.fetchErrors.Inc()
+		c.log.failure("cannot fetch a newer desired state", err, fields{logging.FieldPeer: from})
+		return
+	}
+	if c.follower.Offer(state) {
+		c.stateInForce(from.String(), time.Since(begun))
+	}
+}
+
+// stateInForce follows a new desired state.
+func (c *core) stateInForce(source string, took time.Duration) {
+	t := c.follower.Table()
+	c.metrics.stateChanges.Inc()
+	c.log.event("desired state in force", fields{"version": t.Version(), "source": source, "took": took, "routes": len(t.State().Routes)})
+	c.role.routesChanged(t)
+	sends, _ := c.node.Announce()
+	for _, s := range sends {
+		c.sendMembership(s)
+	}
+}
+
+// leave tells the other members that this process is about to end.
+func (c *core) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving = true
+	sends, _ := c.node.Leave(time.Now())
+	for _, s := range sends {
+		c.sendMembership(s)
+	}
+}
+
+// SetSeeds replaces the members to contact first.
+func (c *core) SetSeeds(seeds []netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.node.SetSeeds(seeds)
+}
--- /dev/null
+++ b/internal/flowproc/log.go
@@ -0,0 +1,98 @@
+package flowproc
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	apex "github.com/apex/log"
+
+	"github.com/almondledge/almondledge/internal/fleet"
+	"github.com/almondledge/almondledge/internal/flow"
+	"github.com/almondledge/almondledge/internal/logging"
+	"github.com/almondledge/almondledge/internal/logring"
+)
+
+// fields are the pairs of one line.
+type fields = apex.Fields
+
+// Limits of log lines a second and process.
+const (
+	// sampledLines bounds lines on ordinary decisions, failureLines those on requests
+	// that were refused, ended or lost.
+	sampledLines = 20
+	failureLines = 100
+	// burstSeconds is how long a burst may exceed the limits.
+	burstSeconds = 2
+)
+
+// eventLog writes lines about beliefs, and bounded numbers of lines about flows.
+type eventLog struct {
+	logger   apex.Interface
+	ring     *logring.Writer
+	samples  *rate.Limiter
+	failures *rate.Limiter
+	// omitted counts decisions without a line since the last line.
+	omitted int
+}
+
+func newEventLog(opt Options) *eventLog {
+	return &eventLog{
+		logger:   opt.Log,
+		ring:     opt.Ring,
+		samples:  rate.NewLimiter(sampledLines, sampledLines*burstSeconds),
+		failures: rate.NewLimiter(failureLines, failureLines*burstSeconds),
+	}
+}
+
+// event logs a change of what the process believes.
+func (l *eventLog) event(message string, pairs fields) {
+	l.logger.WithFields(pairs).Info(message)
+}
+
+// failure logs a dependency that failed.
+func (l *eventLog) failure(message string, err error, pairs fields) {
+	logging.Failure(l.logger.WithFields(pairs), err).Warn(message)
+}
+
+func (l *eventLog) member(m fleet.Member) {
+	pairs := fields{
+		logging.FieldPeer: m.Addr,
+		"role_of_peer":    m.Role,
+		"liveness":        m.Liveness,
+		"incarnation":     m.Incarnation,
+		"revision":        m.Revision,
+	}
+	if m.Role == fleet.Agent {
+		pairs[logging.FieldService] = m.Backend.Service
+		pairs["backend"] = m.Backend.State
+		pairs["born"] = m.Backend.Born
+	}
+	l.event("member changed", pairs)
+}
+
+// flow logs the decision about a packet that opened, refused or lost a flow. Lines
+// on ordinary decisions give way when the output is slow.
+func (l *eventLog) flow(now time.Time, key flow.Key, outcome string, failed bool, pairs fields) {
+	limit := l.samples
+	if failed {
+		limit = l.failures
+	}
+	hasRoom := failed || l.ring == nil || l.ring.HasRoom()
+	if !hasRoom || !limit.AllowN(now, 1) {
+		l.omitted++
+		return
+	}
+	pairs["flow"] = key
+	pairs["outcome"] = outcome
+	if l.omitted > 0 {
+		pairs["omitted"] = l.omitted
+		l.omitted = 0
+	}
+	entry := l.logger.WithFields(pairs)
+	if failed {
+		entry.Warn("flow")
+		return
+	}
+	entry.Info("flow")
+}
--- /dev/null
+++ b/internal/flowproc/metrics.go
@@ -0,0 +1,102 @@
+package flowproc
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/almondledge/almondledge/internal/telemetry"
+)
+
+// counters are the metrics of one process. Their number does not depend on the
+// number of services, routes or members.
+type counters struct {
+	telemetry *telemetry.Process
+
+	peerBytes, sendErrors, badDatagrams *metrics.Counter
+	storeReads, storeErrors             *metrics.Counter
+	fetchErrors, stateChanges           *metrics.Counter
+	outcomes                            []*metrics.Counter
+	// answerTime is the time from an opening packet to the backend server's answer.
+	answerTime *metrics.Histogram
+	// hops is the number of agents that passed a packet before it was delivered.
+	hops *metrics.Histogram
+}
+
+func newCounters(c *core) *counters {
+	process := telemetry.New(c.Ready)
+	set := process.Set()
+	m := &counters{
+		telemetry:    process,
+		peerBytes:    set.NewCounter("almondledge_peer_sent_bytes_total"),
+		sendErrors:   set.NewCounter("almondledge_send_errors_total"),
+		badDatagrams: set.NewCounter("almondledge_bad_datagrams_total"),
+		storeReads:   set.NewCounter(`almondledge_store_reads_total{outcome="ok"}`),
+		storeErrors:  set.NewCounter(`almondledge_store_reads_total{outcome="failed"}`),
+		fetchErrors:  set.NewCounter("almondledge_state_fetch_errors_total"),
+		stateChanges: set.NewCounter("almondledge_state_changes_total"),
+		answerTime:   set.NewHistogram("almondledge_flow_answer_seconds"),
+		hops:         set.NewHistogram("almondledge_packet_hops"),
+	}
+	set.NewGauge("almondledge_state_version", func() float64 { return float64(c.table().Version()) })
+	set.NewGauge("almondledge_state_age_seconds", func() float64 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.follower.Age(time.Now()).Seconds()
+	})
+	for _, liveness := range []string{"alive", "leaving", "suspect", "dead"} {
+		set.NewGauge(`almondledge_members{liveness="`+liveness+`"}`, func() float64 { return c.countMembers(liveness) })
+	}
+	if ring := c.opt.Ring; ring != nil {
+		set.NewGauge("almondledge_log_lines_dropped", func() float64 { return float64(ring.Dropped()) })
+	}
+	return m
+}
+
+// setOutcomes registers one counter for each outcome of a packet.
+func (m *counters) setOutcomes(names []string) {
+	for _, name := range names {
+		m.outcomes = append(m.outcomes, m.telemetry.Set().NewCounter(`almondledge_packets_total{outcome="`+name+`"}`))
+	}
+}
+
+func (c *core) countMembers(liveness string) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count := 0
+	for _, m := range c.node.Members() {
+		if m.Liveness.String() == liveness {
+			count++
+		}
+	}
+	return float64(count)
+}
+
+// serveMetrics serves metrics until ctx ends. A process that cannot do so still
+// does its work.
+func (c *core) serveMetrics(ctx context.Context) error {
+	if !c.cfg.Metrics.IsValid() {
+		return nil
+	}
+	listener, err := c.opt.Network.ListenTCP(c.cfg.Metrics)
+	if err != nil {
+		c.log.failure("metrics are not served", err, fields{})
+		return nil
+	}
+	mux := http.NewServeMux()
+	c.metrics.telemetry.Register(mux, func(http.Handler) http.Handler { return http.NotFoundHandler() })
+	return serveHTTP(ctx, listener, mux)
+}
+
+// serveHTTP serves handler until ctx ends.
+func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 2 * time.Second, IdleTimeout: 30 * time.Second}
+	context.AfterFunc(ctx, func() { server.Close() })
+	if err := server.Serve(listener); err != nil && ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/hop/hop.go
@@ -0,0 +1,209 @@
+// Package hop defines the datagrams between balancers and agents that carry
+// callers' packets, and those that say which agent has a flow.
+//
+// The encoding is fixed-width and big-endian: these messages are made for every
+// packet, so they are kept free of allocation.
+package hop
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/flow"
+)
+
+// Type is the first byte of every datagram between members.
+type Type uint8
+
+// Types of datagram.
+const (
+	// TypeForward carries a caller's packet towards the agent of its flow.
+	TypeForward Type = iota + 1
+	// TypeNotice tells a balancer which agent has a flow.
+	TypeNotice
+	// TypeClaim tells the homes of flows which agent has them.
+	TypeClaim
+	// TypeMembership carries a message of package fleet.
+	TypeMembership
+)
+
+// MaxVisited bounds the agents that one packet may pass.
+const MaxVisited = 24
+
+// Sizes in bytes.
+const (
+	endpointSize      = 6
+	forwardHeaderSize = 1 + 1 + 1 + endpointSize + 8 + 8 + 4
+	noticeSize        = 1 + flow.KeySize + 8 + 4 + 1
+	claimHeaderSize   = 1 + endpointSize + 8 + 1
+	// MaxClaims is the number of flows in one claim.
+	MaxClaims = 90
+)
+
+// Forward is a caller's packet on its way.
+type Forward struct {
+	// Balancer took the packet from the caller and wants to hear who has its flow.
+	Balancer flow.Endpoint
+	// Expected is set when the balancer believes that the receiver has the flow.
+	Expected bool
+	// Born is the start of the backend server that the balancer believes to hold
+	// the flow, in Unix milliseconds; zero when not known.
+	Born int64
+	// Version is the desired state by which an opening packet was routed, and
+	// Service the hash of the service chosen by it.
+	Version uint64
+	Service uint32
+	// Visited lists the agents that have passed the packet on.
+	Visited []flow.Endpoint
+	Packet  []byte
+}
+
+// flagExpected marks Forward.Expected.
+const flagExpected = 1
+
+// AppendTo appends the encoded datagram to b.
+func (f *Forward) AppendTo(b []byte) []byte {
+	var flags byte
+	if f.Expected {
+		flags |= flagExpected
+	}
+	b = append(b, byte(TypeForward), flags, byte(len(f.Visited)))
+	b = appendEndpoint(b, f.Balancer)
+	b = binary.BigEndian.AppendUint64(b, uint64(f.Born))
+	b = binary.BigEndian.AppendUint64(b, f.Version)
+	b = binary.BigEndian.AppendUint32(b, f.Service)
+	for _, v := range f.Visited {
+		b = appendEndpoint(b, v)
+	}
+	return append(b, f.Packet...)
+}
+
+// DecodeForward reads a forwarded packet; Packet aliases b.
+func DecodeForward(b []byte) (Forward, error) {
+	if len(b) < forwardHeaderSize || Type(b[0]) != TypeForward {
+		return Forward{}, malformed("forwarded packet")
+	}
+	count := int(b[2])
+	if count > MaxVisited || len(b) < forwardHeaderSize+count*endpointSize {
+		return Forward{}, malformed("forwarded packet")
+	}
+	f := Forward{
+		Expected: b[1]&flagExpected != 0,
+		Balancer: endpoint(b[3:]),
+		Born:     int64(binary.BigEndian.Uint64(b[9:])),
+		Version:  binary.BigEndian.Uint64(b[17:]),
+		Service:  binary.BigEndian.Uint32(b[25:]),
+	}
+	rest := b[forwardHeaderSize:]
+	if count > 0 {
+		f.Visited = make([]flow.Endpoint, 0, count+1)
+	}
+	for range count {
+		f.Visited = append(f.Visited, endpoint(rest))
+		rest = rest[endpointSize:]
+	}
+	f.Packet = rest
+	return f, nil
+}
+
+// Notice is sent by the agent that has a flow, to the balancer that had to ask.
+type Notice struct {
+	Key flow.Key
+	// Born is the start of the flow's backend server.
+	Born int64
+	// Flows and Active are the agent's load.
+	Flows, Active uint16
+	// Refused is set when the agent did not take an opening packet: the balancer
+	// must not expect the flow there.
+	Refused bool
+}
+
+// AppendTo appends the encoded datagram to b.
+func (n *Notice) AppendTo(b []byte) []byte {
+	b = append(b, byte(TypeNotice))
+	b = n.Key.AppendTo(b)
+	b = binary.BigEndian.AppendUint64(b, uint64(n.Born))
+	b = binary.BigEndian.AppendUint16(b, n.Flows)
+	b = binary.BigEndian.AppendUint16(b, n.Active)
+	if n.Refused {
+		return append(b, 1)
+	}
+	return append(b, 0)
+}
+
+// DecodeNotice reads a notice.
+func DecodeNotice(b []byte) (Notice, error) {
+	if len(b) != noticeSize || Type(b[0]) != TypeNotice {
+		return Notice{}, malformed("notice")
+	}
+	rest := b[1+flow.KeySize:]
+	return Notice{
+		Key:     flow.DecodeKey(b[1:]),
+		Born:    int64(binary.BigEndian.Uint64(rest)),
+		Flows:   binary.BigEndian.Uint16(rest[8:]),
+		Active:  binary.BigEndian.Uint16(rest[10:]),
+		Refused: rest[12] != 0,
+	}, nil
+}
+
+// Claim tells the home of some flows that Owner has them.
+type Claim struct {
+	Owner flow.Endpoint
+	Born  int64
+	Keys  []flow.Key
+}
+
+// AppendTo appends the encoded datagram to b.
+func (c *Claim) AppendTo(b []byte) []byte {
+	b = append(b, byte(TypeClaim))
+	b = appendEndpoint(b, c.Owner)
+	b = binary.BigEndian.AppendUint64(b, uint64(c.Born))
+	b = append(b, byte(len(c.Keys)))
+	for _, k := range c.Keys {
+		b = k.AppendTo(b)
+	}
+	return b
+}
+
+// DecodeClaim reads a claim.
+func DecodeClaim(b []byte) (Claim, error) {
+	if len(b) < claimHeaderSize || Type(b[0]) != TypeClaim {
+		return Claim{}, malformed("claim")
+	}
+	count := int(b[claimHeaderSize-1])
+	if count > MaxClaims || len(b) != claimHeaderSize+count*flow.KeySize {
+		return Claim{}, malformed("claim")
+	}
+	c := Claim{
+		Owner: endpoint(b[1:]),
+		Born:  int64(binary.BigEndian.Uint64(b[1+endpointSize:])),
+		Keys:  make([]flow.Key, 0, count),
+	}
+	for rest := b[claimHeaderSize:]; len(rest) > 0; rest = rest[flow.KeySize:] {
+		c.Keys = append(c.Keys, flow.DecodeKey(rest))
+	}
+	return c, nil
+}
+
+// Send is a datagram for another member.
+type Send struct {
+	To      netip.AddrPort
+	Payload []byte
+}
+
+func appendEndpoint(b []byte, e flow.Endpoint) []byte {
+	b = append(b, e.IP[:]...)
+	return binary.BigEndian.AppendUint16(b, e.Port)
+}
+
+func endpoint(b []byte) flow.Endpoint {
+	var e flow.Endpoint
+	copy(e.IP[:], b[:4])
+	e.Port = binary.BigEndian.Uint16(b[4:6])
+	return e
+}
+
+func malformed(what string) error {
+	return errkind.New(errkind.Invalid, what+" between processes cannot be read", "check that all processes run the same release")
+}
--- /dev/null
+++ b/internal/logring/logring.go
@@ -0,0 +1,75 @@
+// Package logring keeps logging from holding up the process: lines go into a
+// bounded buffer that one goroutine writes out. When the reader of the output
+// stalls, lines are dropped and counted.
+package logring
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// capacity is the number of lines that wait to be written.
+const capacity = 2048
+
+// reservedForEvents is the part of the buffer that samples of ordinary work do not fill.
+const reservedForEvents = capacity / 4
+
+// Writer is an io.Writer that never blocks. Each call of Write is one line.
+type Writer struct {
+	lines   chan []byte
+	dropped atomic.Uint64
+	done    chan struct{}
+	once    sync.Once
+}
+
+// New returns a writer that writes lines to w from a goroutine of its own, until Close.
+func New(w io.Writer) *Writer {
+	r := &Writer{lines: make(chan []byte, capacity), done: make(chan struct{})}
+	go r.run(w)
+	return r
+}
+
+func (r *Writer) run(w io.Writer) {
+	defer close(r.done)
+	var reported uint64
+	for line := range r.lines {
+		_, err := w.Write(line)
+		if err != nil {
+			r.dropped.Add(1)
+			continue
+		}
+		if dropped := r.dropped.Load(); dropped != reported {
+			// An error here is counted with the next line.
+			_, _ = fmt.Fprintf(w, "level=warn message=\"log lines dropped\" dropped=%d\n", dropped-reported)
+			reported = dropped
+		}
+	}
+}
+
+// Write queues a copy of line, or drops it when the buffer is full.
+func (r *Writer) Write(line []byte) (int, error) {
+	select {
+	case r.lines <- append([]byte(nil), line...):
+	default:
+		r.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// HasRoom reports whether samples of ordinary work may be logged now.
+func (r *Writer) HasRoom() bool { return len(r.lines) < capacity-reservedForEvents }
+
+// Dropped returns the number of lines dropped so far.
+func (r *Writer) Dropped() uint64 { return r.dropped.Load() }
+
+// Close writes what is buffered, for at most limit. Nothing may be written after it.
+func (r *Writer) Close(limit time.Duration) {
+	r.once.Do(func() { close(r.lines) })
+	select {
+	case <-r.done:
+	case <-time.After(limit):
+	}
+}
--- /dev/null
+++ b/internal/placement/service.go
@@ -0,0 +1,20 @@
+package placement
+
+import "github.com/cespare/xxhash/v2"
+
+// ServiceHash names a service in messages between processes. It guards against
+// processes that disagree, so a collision costs a hop and breaks nothing: agents
+// check names against their own desired state as well.
+func ServiceHash(name string) uint32 {
+	return uint32(xxhash.Sum64String(name))
+}
+
+// ServiceByHash returns the name of a service that some agent serves, or "".
+func (b *Board) ServiceByHash(hash uint32) string {
+	for name := range b.services {
+		if ServiceHash(name) == hash {
+			return name
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/statesync/follower.go
@@ -0,0 +1,127 @@
+// Package statesync keeps the desired state of a process up to date. The
+// platform's store holds the truth; some processes read it, and the others hear
+// from them how old the last confirmation is and fetch newer states from them.
+// No process ever goes back to a lower version.
+package statesync
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/route"
+)
+
+// Times between reads of the store.
+const (
+	// BalancerPatience and AgentPatience are how old the newest known confirmation may
+	// become until a process reads the store itself. Agents leave it to balancers
+	// unless they hear from none.
+	BalancerPatience = 800 * time.Millisecond
+	AgentPatience    = 1700 * time.Millisecond
+	// patienceJitter spreads the processes, so that mostly one reads and the others
+	// hear of it.
+	patienceJitter = 500 * time.Millisecond
+	// firstAgentDelay lets agents that have just started ask their peers first.
+	firstAgentDelay = 150 * time.Millisecond
+	// retryMin and retryMax bound the pause after a failed read.
+	retryMin = 60 * time.Millisecond
+	retryMax = 600 * time.Millisecond
+)
+
+// Follower decides when to read the store and which state is in force. It is not
+// safe for concurrent use.
+type Follower struct {
+	patience time.Duration
+	rand     *rand.Rand
+	table    *route.Table
+	// confirmed is when the state in force was last known to be the newest, here or
+	// at any process that was heard of.
+	confirmed time.Time
+	nextRead  time.Time
+	failures  int
+	reading   bool
+	jitter    time.Duration
+}
+
+// NewFollower returns a follower that starts at time now without a state.
+func NewFollower(now time.Time, patience time.Duration, random *rand.Rand) *Follower {
+	f := &Follower{patience: patience, rand: random, nextRead: now, confirmed: now.Add(-time.Hour)}
+	if patience >= AgentPatience {
+		f.nextRead = now.Add(firstAgentDelay)
+	}
+	return f
+}
+
+// Table returns the state in force, or nil.
+func (f *Follower) Table() *route.Table { return f.table }
+
+// Age returns how long ago the state in force was last known to be the newest.
+func (f *Follower) Age(now time.Time) time.Duration { return now.Sub(f.confirmed) }
+
+// ShouldRead reports whether the store should be read now. The caller must then
+// call Read or Failed.
+func (f *Follower) ShouldRead(now time.Time) bool {
+	if f.reading || now.Before(f.nextRead) {
+		return false
+	}
+	if f.table != nil && f.Age(now) < f.patience+f.jitter {
+		return false
+	}
+	f.reading = true
+	return true
+}
+
+// Read takes a state that the store returned to a read begun at time begun, and
+// reports whether it came into force.
+func (f *Follower) Read(begun time.Time, s route.State) bool {
+	f.reading = false
+	f.failures = 0
+	f.jitter = time.Duration(f.rand.Int64N(int64(patienceJitter)))
+	if s.Version < f.table.Version() {
+		return false // an answer that was overtaken by a newer one
+	}
+	f.confirm(begun)
+	return f.Offer(s)
+}
+
+// Unchanged notes that a read begun at time begun found the state in force.
+func (f *Follower) Unchanged(begun time.Time) {
+	f.reading = false
+	f.failures = 0
+	f.jitter = time.Duration(f.rand.Int64N(int64(patienceJitter)))
+	f.confirm(begun)
+}
+
+// Failed notes that the store could not be read.
+func (f *Follower) Failed(now time.Time) {
+	f.reading = false
+	f.failures++
+	pause := min(retryMax, retryMin<<min(f.failures-1, 8))
+	f.nextRead = now.Add(pause/2 + time.Duration(f.rand.Int64N(int64(pause))))
+}
+
+// Failures returns the number of failed reads since the last that succeeded.
+func (f *Follower) Failures() int { return f.failures }
+
+// Heard takes over what another process with the given version says of the age of
+// its last confirmation.
+func (f *Follower) Heard(now time.Time, version uint64, age time.Duration) {
+	if version == f.table.Version() && version > 0 {
+		f.confirm(now.Add(-age))
+	}
+}
+
+// Offer puts a state in force if it is newer, and reports whether it was.
+func (f *Follower) Offer(s route.State) bool {
+	if s.Version <= f.table.Version() {
+		return false
+	}
+	f.table = route.NewTable(s)
+	return true
+}
+
+func (f *Follower) confirm(at time.Time) {
+	if at.After(f.confirmed) {
+		f.confirmed = at
+	}
+}
