--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -57,7 +57,7 @@
 	}
 	cfg.Self.Revision = 1
 	n.self = &record{Member: cfg.Self, since: now}
-	n.self.sumCache = n.self.Member.sum()
+	n.self.sumCache = n.self.sum()
 	n.records[cfg.Self.Addr] = n.self
 	n.sum = n.self.sumCache
 	n.generation = 1
@@ -164,27 +164,26 @@
 	n.generation++
 }
 
-// learn takes a statement of another member into the table and reports whether it was new.
-func (n *Node) learn(now time.Time, m Member) bool {
+// learn takes a statement of another member into the table if it is new.
+func (n *Node) learn(now time.Time, m Member) {
 	if m.Addr == n.self.Addr {
 		n.refute(now, m)
-		return false
+		return
 	}
 	r := n.records[m.Addr]
 	if r == nil {
-		if m.Liveness == Dead {
-			return false // news of somebody who was never met here
+		if m.Liveness == Dead && n.joined {
+			return // news of somebody who was never met here
 		}
 		r = &record{}
 		n.records[m.Addr] = r
 		n.insertProbe(m.Addr)
 	} else if !Supersedes(&m, &r.Member) {
-		return false
+		return
 	}
 	n.replace(now, r, m)
 	n.events = append(n.events, Event{Kind: MemberChanged, Member: m})
 	n.spread(m.Addr)
-	return true
 }
 
 // refute answers a statement about this member that others hold against it.
--- a/internal/flowagent/backend.go
+++ b/internal/flowagent/backend.go
@@ -64,7 +64,7 @@
 			return a.end(d, p, "backend_lost_flow")
 		}
 	}
-	return a.passOn(f, p, d)
+	return a.passOn(now, f, p, d)
 }
 
 // notify tells a balancer that this agent has a flow, or has refused it.
--- a/internal/flowagent/flowagent.go
+++ b/internal/flowagent/flowagent.go
@@ -38,6 +38,8 @@
 	Refused
 	// Ended packets were answered with a reset: the flow's backend server is gone.
 	Ended
+	// Searched packets wait at their flow's home, which asks the agents for the flow.
+	Searched
 	// Lost packets were dropped: no agent that was asked has their flow.
 	Lost
 	// Replied packets went from the backend server to the caller.
@@ -45,7 +47,7 @@
 )
 
 // Outcomes lists the names of all outcomes, for metrics.
-var Outcomes = [...]string{"malformed", "delivered", "opened", "probed", "passed", "refused", "ended", "lost", "replied"}
+var Outcomes = [...]string{"malformed", "delivered", "opened", "probed", "passed", "refused", "ended", "searched", "lost", "replied"}
 
 // String returns the outcome as logs show it.
 func (o Outcome) String() string { return Outcomes[o] }
@@ -134,6 +136,7 @@
 	flows       *flowtable.Table
 	claims      *simplelru.LRU[flow.Key, claimed]
 	foreign     *simplelru.LRU[flow.Key, time.Time]
+	searches    *simplelru.LRU[flow.Key, *search]
 	journeys    [cookies]journey
 	lastCookie  uint32
 }
@@ -149,6 +152,7 @@
 		flows:       flowtable.New(flowTableSize),
 		claims:      newLRU[claimed](claimTableSize),
 		foreign:     newLRU[time.Time](foreignTableSize),
+		searches:    newLRU[*search](searchTableSize),
 	}
 }
 
@@ -207,6 +211,7 @@
 		idle = defaultIdleTimeout
 	}
 	a.flows.Expire(now, idle+idleMargin)
+	a.expireSearches(now)
 	if !homesChanged {
 		return nil
 	}
--- a/internal/flowagent/forward.go
+++ b/internal/flowagent/forward.go
@@ -28,7 +28,7 @@
 	}
 	a.flows.FromCaller(now, key, e, &p)
 	d := Decision{Outcome: Delivered, Key: key, Backend: p.Raw}
-	if !f.Expected || f.Born != a.backend.Born {
+	if !f.Search && (!f.Expected || f.Born != a.backend.Born) {
 		d.Sends = a.notify(f.Balancer, key, false)
 	}
 	return d
@@ -114,13 +114,13 @@
 	if f.Expected && f.Born != 0 && a.backend.Born > f.Born {
 		return a.end(d, p, "backend_restarted")
 	}
-	if a.mayHoldUnseen(now, key) {
+	if f.Search && a.mayHoldUnseen(now, key) {
 		d.Outcome = Probed
 		a.embark(f, p)
 		d.Backend = p.Raw
 		return d
 	}
-	return a.passOn(f, p, d)
+	return a.passOn(now, f, p, d)
 }
 
 // end resets a flow whose backend server is certainly gone.
@@ -133,63 +133,42 @@
 	return d
 }
 
-// passOn sends a packet to the next agent that may have its flow.
-func (a *Agent) passOn(f hop.Forward, p *flow.Packet, d Decision) Decision {
-	f.Visited = append(slices.Clip(f.Visited), a.self)
-	f.Expected, f.Born = false, 0
-	if c, ok := a.claims.Get(d.Key); ok && !slices.Contains(f.Visited, c.owner) {
-		if m, known := a.cfg.Board.Member(c.owner.AddrPort()); known && m.Backend.Born > c.born && c.born != 0 {
+// passOn sends a packet to the agent that has claimed its flow, or to the flow's home.
+func (a *Agent) passOn(now time.Time, f hop.Forward, p *flow.Packet, d Decision) Decision {
+	if f.Search {
+		answer := hop.Answer{Key: d.Key, Finding: hop.NotHeld, Born: a.backend.Born}
+		d.Outcome, d.Reason = Lost, "not_held"
+		d.Sends = append(d.Sends, hop.Send{To: f.Balancer.AddrPort(), Payload: answer.AppendTo(nil)})
+		return d
+	}
+	if c, ok := a.claims.Get(d.Key); ok {
+		if slices.Contains(f.Visited, c.owner) {
+			a.claims.Remove(d.Key)
+			return a.locate(now, f, p, d)
+		}
+		m, known := a.cfg.Board.Member(c.owner.AddrPort())
+		if known && c.born != 0 && m.Backend.Born > c.born {
 			return a.end(d, p, "claimed_backend_restarted")
 		}
-		f.Expected, f.Born = true, c.born
+		f.Visited = append(slices.Clip(f.Visited), a.self)
 		return a.passTo(f, d, c.owner.AddrPort(), "claimed")
 	}
-	if len(f.Visited) < hop.MaxVisited {
-		if to, ok := a.nextUnvisited(&f, p); ok {
-			return a.passTo(f, d, to, "unknown")
-		}
+	if len(f.Visited) >= hop.MaxVisited {
+		d.Outcome, d.Reason = Lost, "too_many_hops"
+		return d
 	}
-	d.Outcome = Lost
-	return d
+	return a.locate(now, f, p, d)
 }
 
 func (a *Agent) passTo(f hop.Forward, d Decision, to netip.AddrPort, reason string) Decision {
 	// The receiver's notice goes to the balancer even if it expected the flow there.
-	f.Born = 0
-	f.Expected = false
+	f.Expected, f.Born = false, 0
 	d.Outcome = Passed
 	d.Reason = reason
 	d.Sends = append(d.Sends, hop.Send{To: to, Payload: f.AppendTo(nil)})
 	return d
 }
 
-// nextUnvisited returns the next agent to ask about a flow: first its homes, then
-// the agents of the services of its route, then all others.
-func (a *Agent) nextUnvisited(f *hop.Forward, p *flow.Packet) (netip.AddrPort, bool) {
-	visited := func(to netip.AddrPort) bool { return slices.Contains(f.Visited, flow.EndpointOf(to)) }
-	key := p.CallerKey()
-	for _, home := range a.cfg.Board.Homes(key, homesTold) {
-		if !visited(home) {
-			return home, true
-		}
-	}
-	if r := a.routes.Lookup(p.Dst); r != nil {
-		for _, share := range r.Shares {
-			for _, m := range a.cfg.Board.Agents(share.Service) {
-				if !visited(m.Addr) {
-					return m.Addr, true
-				}
-			}
-		}
-	}
-	for _, other := range a.cfg.Board.Homes(key, hop.MaxVisited) {
-		if !visited(other) {
-			return other, true
-		}
-	}
-	return netip.AddrPort{}, false
-}
-
 // embark remembers the way of a packet that goes to the backend server, so that
 // it can go on if it is returned.
 func (a *Agent) embark(f hop.Forward, p *flow.Packet) uint32 {
--- /dev/null
+++ b/internal/flowagent/search.go
@@ -0,0 +1,180 @@
+package flowagent
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/fleet"
+	"github.com/almondledge/almondledge/internal/flow"
+	"github.com/almondledge/almondledge/internal/hop"
+)
+
+const (
+	// searchTime bounds a search; agents that have not answered by then leave its
+	// outcome open.
+	searchTime = 200 * time.Millisecond
+	// repeatTime is how long packets of a flow whose search had no result are dropped
+	// without another search.
+	repeatTime = 300 * time.Millisecond
+	// searchTableSize bounds the searches under way or lately ended.
+	searchTableSize = 2048
+	// maxAsked bounds the agents asked in one search.
+	maxAsked = 96
+)
+
+// search is the question of a flow's home to all agents that may have the flow.
+type search struct {
+	began time.Time
+	// ended is set once the search had no result; its flow is not searched for again
+	// until some time later.
+	ended time.Time
+	// waiting lists the agents that have not answered, unsure those that got the packet
+	// because they could not tell.
+	waiting, unsure []flow.Endpoint
+	// certain is set if a search that finds nothing proves that nobody has the flow.
+	certain bool
+	forward hop.Forward
+	ack     uint32
+	reset   bool
+}
+
+// locate decides about a packet of a flow that neither this agent nor any claim is
+// known for: the flow's home asks all agents that may have it.
+func (a *Agent) locate(now time.Time, f hop.Forward, p *flow.Packet, d Decision) Decision {
+	home, isHome := a.home(d.Key, &f)
+	if !isHome {
+		f.Visited = append(slices.Clip(f.Visited), a.self)
+		return a.passTo(f, d, home, "home")
+	}
+	if s, ok := a.searches.Get(d.Key); ok && (s.ended.IsZero() || now.Sub(s.ended) < repeatTime) {
+		d.Outcome, d.Reason = Lost, "search_under_way"
+		return d
+	}
+	s := &search{began: now, forward: f, ack: p.Ack, reset: !p.Flags.Has(flow.RST)}
+	s.forward.Packet = slices.Clone(p.Raw)
+	asked, complete := a.candidates(p.Dst)
+	s.certain = complete && a.cfg.Board.IsSettled(now)
+	q := hop.Query{Key: d.Key, Ack: p.Ack, Home: a.self}
+	for _, to := range asked {
+		if e := flow.EndpointOf(to); e != a.self {
+			s.waiting = append(s.waiting, e)
+			d.Sends = append(d.Sends, hop.Send{To: to, Payload: q.AppendTo(nil)})
+		}
+	}
+	a.searches.Add(d.Key, s)
+	d.Outcome = Searched
+	if len(s.waiting) == 0 {
+		return a.conclude(now, d, s)
+	}
+	return d
+}
+
+// home returns the agent that keeps track of a flow, and whether it is this one.
+// Homes that have passed the packet on, or that do not answer, are left out.
+func (a *Agent) home(key flow.Key, f *hop.Forward) (netip.AddrPort, bool) {
+	for _, home := range a.cfg.Board.Homes(key, homesTold) {
+		if home == a.cfg.Self {
+			return home, true
+		}
+		m, known := a.cfg.Board.Member(home)
+		if known && m.Liveness == fleet.Alive && !slices.Contains(f.Visited, flow.EndpointOf(home)) {
+			return home, false
+		}
+	}
+	return a.cfg.Self, true
+}
+
+// candidates returns the agents that may have a flow to front, and whether these
+// are all. Flows stay where they are when their route changes, so the services
+// of today are not enough.
+func (a *Agent) candidates(front flow.Endpoint) (agents []netip.AddrPort, complete bool) {
+	if all := a.cfg.Board.AllAgents(); len(all) <= maxAsked {
+		return all, true
+	}
+	r := a.routes.Lookup(front)
+	if r == nil {
+		return nil, false
+	}
+	for _, share := range r.Shares {
+		for _, m := range a.cfg.Board.Agents(share.Service) {
+			agents = append(agents, m.Addr)
+		}
+	}
+	return agents[:min(len(agents), maxAsked)], false
+}
+
+// HandleQuery answers whether this agent has a flow.
+func (a *Agent) HandleQuery(now time.Time, q hop.Query) []hop.Send {
+	answer := hop.Answer{Key: q.Key, Finding: hop.NotHeld, Born: a.backend.Born}
+	probe := flow.Packet{Flags: flow.ACK, Ack: q.Ack}
+	switch e := a.flows.Get(q.Key); {
+	case e != nil && e.Matches(&probe):
+		answer.Finding = hop.Held
+	case a.mayHoldUnseen(now, q.Key):
+		answer.Finding = hop.Unsure
+	}
+	return []hop.Send{{To: q.Home.AddrPort(), Payload: answer.AppendTo(nil)}}
+}
+
+// HandleAnswer follows the answer of an agent in a search.
+func (a *Agent) HandleAnswer(now time.Time, from netip.AddrPort, answer hop.Answer) Decision {
+	d := Decision{Outcome: Searched, Key: answer.Key}
+	s, ok := a.searches.Get(answer.Key)
+	if !ok || !s.ended.IsZero() {
+		return d
+	}
+	agent := flow.EndpointOf(from)
+	switch answer.Finding {
+	case hop.Held:
+		a.claims.Add(answer.Key, claimed{owner: agent, born: answer.Born})
+		a.searches.Remove(answer.Key)
+		return a.passTo(s.forward, d, from, "found")
+	case hop.Unsure:
+		if !slices.Contains(s.unsure, agent) {
+			s.unsure = append(s.unsure, agent)
+			f := s.forward
+			f.Search, f.Balancer = true, a.self
+			d.Sends = []hop.Send{{To: from, Payload: f.AppendTo(nil)}}
+		}
+		return d
+	}
+	s.waiting = slices.DeleteFunc(s.waiting, func(e flow.Endpoint) bool { return e == agent })
+	if len(s.waiting) == 0 {
+		return a.conclude(now, d, s)
+	}
+	return d
+}
+
+// conclude ends a search in which all agents have said that they do not have the
+// flow. If these are certainly all agents, the caller is told at once.
+func (a *Agent) conclude(now time.Time, d Decision, s *search) Decision {
+	s.ended = now
+	s.forward.Packet = nil
+	if !s.certain {
+		d.Outcome, d.Reason = Lost, "members_in_doubt"
+		return d
+	}
+	d.Outcome, d.Reason = Ended, "no_agent_has_it"
+	if s.reset {
+		d.Replies = []Reply{{d.Key.Caller, a.cfg.Codec.Reset(d.Key, s.ack)}}
+	}
+	return d
+}
+
+// expireSearches ends searches in which some agent has not answered.
+func (a *Agent) expireSearches(now time.Time) {
+	for _, key := range a.searches.Keys() {
+		s, ok := a.searches.Peek(key)
+		if !ok || now.Sub(s.began) < searchTime {
+			return // the keys are in the order of their use
+		}
+		if s.ended.IsZero() {
+			s.ended = now
+			s.forward.Packet = nil
+		}
+		if now.Sub(s.ended) >= repeatTime {
+			a.searches.Remove(key)
+		}
+	}
+}
--- a/internal/flowproc/agent.go
+++ b/internal/flowproc/agent.go
@@ -47,7 +47,7 @@
 	if a.core, err = newCore(cfg.Common, opt, self, statesync.AgentPatience); err != nil {
 		return nil, err
 	}
-	a.core.role = a
+	a.role = a
 	a.metrics.setOutcomes(flowagent.Outcomes[:])
 	a.agent = flowagent.New(time.Now(), flowagent.Config{
 		Self: cfg.Peer, Service: cfg.Service, FlowLifetime: cfg.FlowLifetime, Codec: opt.Codec, Board: a.board,
@@ -78,7 +78,7 @@
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	a.start(ctx, group)
-	context.AfterFunc(ctx, func() { a.fromBackend.Close() })
+	closeAtEnd(ctx, a.fromBackend)
 	group.Go(func() error { return a.readBackend(ctx) })
 	group.Go(func() error { return a.serveMetrics(ctx) })
 	group.Go(func() error {
@@ -148,10 +148,10 @@
 	reader := a.fromBackend.NewReader()
 	for {
 		count, err := reader.Read()
+		if ctx.Err() != nil {
+			return nil
+		}
 		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
 			return errkind.Wrap(err, errkind.Unavailable, "cannot read the backend server's socket", "check that the address belongs to this instance")
 		}
 		a.mu.Lock()
@@ -191,7 +191,7 @@
 
 func (a *Agent) routesChanged(t *route.Table) { a.agent.SetRoutes(t) }
 
-func (a *Agent) handlePeer(now time.Time, _ netip.AddrPort, datagram []byte) {
+func (a *Agent) handlePeer(now time.Time, from netip.AddrPort, datagram []byte) {
 	switch hop.Type(datagram[0]) {
 	case hop.TypeForward:
 		f, err := hop.DecodeForward(datagram)
@@ -208,6 +208,22 @@
 			return
 		}
 		a.agent.HandleClaim(c)
+	case hop.TypeQuery:
+		q, err := hop.DecodeQuery(datagram)
+		if err != nil {
+			a.metrics.badDatagrams.Inc()
+			return
+		}
+		for _, s := range a.agent.HandleQuery(now, q) {
+			a.send(s.To, s.Payload)
+		}
+	case hop.TypeAnswer:
+		answer, err := hop.DecodeAnswer(datagram)
+		if err != nil {
+			a.metrics.badDatagrams.Inc()
+			return
+		}
+		a.carryOut(now, a.agent.HandleAnswer(now, from, answer))
 	default:
 		a.metrics.badDatagrams.Inc()
 	}
--- a/internal/flowproc/balancer.go
+++ b/internal/flowproc/balancer.go
@@ -51,7 +51,7 @@
 	if b.core, err = newCore(cfg.Common, opt, fleet.Member{Role: fleet.Balancer}, statesync.BalancerPatience); err != nil {
 		return nil, err
 	}
-	b.core.role = b
+	b.role = b
 	b.metrics.setOutcomes(flowbalancer.Outcomes[:])
 	b.balancer = flowbalancer.New(cfg.Peer, opt.Codec, b.board, ownerTableSize)
 	b.metrics.telemetry.Set().NewGauge("almondledge_owners", func() float64 {
@@ -69,7 +69,7 @@
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	b.start(ctx, group)
-	context.AfterFunc(ctx, func() { b.callers.Close() })
+	closeAtEnd(ctx, b.callers)
 	group.Go(func() error { return b.readCallers(ctx) })
 	group.Go(func() error { return b.serveMetrics(ctx) })
 	group.Go(func() error {
@@ -101,10 +101,10 @@
 	reader := b.callers.NewReader()
 	for {
 		count, err := reader.Read()
+		if ctx.Err() != nil {
+			return nil
+		}
 		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
 			return errkind.Wrap(err, errkind.Unavailable, "cannot read the callers' socket", "check that the address belongs to this instance")
 		}
 		b.mu.Lock()
--- a/internal/flowproc/config.go
+++ b/internal/flowproc/config.go
@@ -20,9 +20,14 @@
 
 // StateSource is where operators keep the desired state.
 type StateSource interface {
-	// ReadState returns the newest desired state. Errors carry a kind of package
-	// errkind; Invalid means that there is a state and that it cannot be used.
-	ReadState(ctx context.Context) (route.State, error)
+	// ReadState returns the newest desired state and the store's revision of it. Errors
+	// carry a kind of package errkind; Invalid means that there is a state and that it
+	// cannot be used.
+	ReadState(ctx context.Context) (route.State, int64, error)
+	// AwaitState waits for a state newer than a revision and returns it, or the
+	// revision itself with a zero state when none came. Only a state costs more than a few bytes. An error of
+	// kind Stale means that the store has forgotten the changes since then.
+	AwaitState(ctx context.Context, revision int64, wait time.Duration) (route.State, int64, error)
 }
 
 // Common is what both roles need.
--- a/internal/flowproc/core.go
+++ b/internal/flowproc/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -19,8 +20,18 @@
 	"github.com/almondledge/almondledge/internal/udpbatch"
 )
 
-// readTimeout bounds one read of the desired state from the store.
-const readTimeout = 900 * time.Millisecond
+const (
+	// readTimeout bounds one read of the desired state from the store.
+	readTimeout = 900 * time.Millisecond
+	// awaitTime is how long the store may hold back an answer until there is a change.
+	awaitTime = 500 * time.Millisecond
+	// fullReadPeriod is how often a state is read in full although the store reports
+	// no change: a broken wait for changes must not go unnoticed for long.
+	fullReadPeriod = 8 * time.Second
+	// fetchPatience is how long one process is waited for before another is asked for
+	// a newer state.
+	fetchPatience = 250 * time.Millisecond
+)
 
 // role is the part of a process that differs between balancers and agents. Its
 // methods are called with core.mu held.
@@ -55,10 +66,15 @@
 	board      *placement.Board
 	follower   *statesync.Follower
 	generation uint64
-	fetching   map[netip.AddrPort]bool
-	storeDown  bool
-	leaving    bool
-	started    time.Time
+	// revision is the store's revision of the newest state read here, and lastRead when
+	// that state was last read in full.
+	revision int64
+	lastRead time.Time
+	// fetching is until when no second process is asked for a state.
+	fetching  time.Time
+	storeDown bool
+	leaving   bool
+	started   time.Time
 }
 
 // newCore binds the sockets between processes.
@@ -68,9 +84,8 @@
 		cfg:      cfg,
 		opt:      opt,
 		log:      newEventLog(opt),
-		board:    placement.NewBoard(cfg.Peer, cfg.DataCentre, opt.Rand),
+		board:    placement.NewBoard(now, cfg.Peer, cfg.DataCentre, opt.Rand),
 		follower: statesync.NewFollower(now, patience, opt.Rand),
-		fetching: map[netip.AddrPort]bool{},
 		started:  now,
 	}
 	self.Addr = cfg.Peer
@@ -98,10 +113,8 @@
 
 // start adds the goroutines of the core to group; they end with ctx.
 func (c *core) start(ctx context.Context, group *errgroup.Group) {
-	context.AfterFunc(ctx, func() {
-		c.peer.Close()
-		c.streams.Close()
-	})
+	closeAtEnd(ctx, c.peer)
+	closeAtEnd(ctx, c.streams)
 	group.Go(func() error { return c.readPeers(ctx) })
 	group.Go(func() error {
 		statesync.Serve(c.streams, c.table)
@@ -110,6 +123,12 @@
 	group.Go(func() error { return c.tickLoop(ctx) })
 }
 
+// closeAtEnd closes a socket when ctx ends, which ends the reads of it. An error of
+// closing is of no use to anybody then.
+func closeAtEnd(ctx context.Context, socket io.Closer) {
+	context.AfterFunc(ctx, func() { _ = socket.Close() })
+}
+
 // table returns the desired state in force, or nil.
 func (c *core) table() *route.Table {
 	c.mu.Lock()
@@ -181,8 +200,8 @@
 		c.board.Report(e.Member.Addr, e.Load.Flows, e.Load.Active)
 	case fleet.VersionReported:
 		c.follower.Heard(now, e.Version, e.Age)
-		if e.Version > c.follower.Table().Version() && !c.fetching[e.Member.Addr] {
-			c.fetching[e.Member.Addr] = true
+		if e.Version > c.follower.Table().Version() && !now.Before(c.fetching) {
+			c.fetching = now.Add(fetchPatience)
 			go c.fetchState(ctx, e.Member.Addr)
 		}
 	}
@@ -192,7 +211,7 @@
 func (c *core) refreshBoard(now time.Time) {
 	if generation := c.node.Generation(); generation != c.generation {
 		c.generation = generation
-		c.board.SetMembers(c.node.Members())
+		c.board.SetMembers(now, c.node.Members())
 		c.role.membersChanged(now)
 	}
 }
@@ -201,10 +220,10 @@
 	reader := c.peer.NewReader()
 	for {
 		count, err := reader.Read()
+		if ctx.Err() != nil {
+			return nil
+		}
 		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
 			return errkind.Wrap(err, errkind.Unavailable, "cannot read the socket between processes", "check that the peer address belongs to this instance")
 		}
 		c.mu.Lock()
@@ -234,35 +253,62 @@
 	c.refreshBoard(now)
 }
 
-// readStore reads the desired state from the store.
+// readStore asks the store for a newer desired state.
 func (c *core) readStore(ctx context.Context, begun time.Time) {
 	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	state, err := c.opt.States.ReadState(readCtx)
+	state, revision, err := c.askStore(readCtx, begun)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if ctx.Err() != nil {
 		return
 	}
 	if err != nil {
-		c.metrics.storeErrors.Inc()
-		c.follower.Failed(time.Now())
-		if !c.storeDown {
-			c.storeDown = true
-			c.log.failure("lost the platform's store; the state in force stays", err, fields{"version": c.follower.Table().Version(), "age": c.follower.Age(time.Now())})
-		}
+		c.storeFailed(err)
 		return
 	}
 	c.metrics.storeReads.Inc()
 	if c.storeDown {
 		c.storeDown = false
-		c.log.event("platform's store answers again", fields{"version": state.Version})
+		c.log.event("platform's store answers again", fields{"revision": revision})
+	}
+	if state.Version == 0 {
+		c.follower.Unchanged(begun)
+		return
 	}
+	c.revision, c.lastRead = max(c.revision, revision), begun
 	if c.follower.Read(begun, state) {
 		c.stateInForce("store", time.Since(begun))
 	}
 }
 
+// askStore waits a little for a change, or reads the whole state if none was read
+// for long or the store has forgotten the changes. It returns a zero state when
+// there is no change.
+func (c *core) askStore(ctx context.Context, now time.Time) (route.State, int64, error) {
+	c.mu.Lock()
+	revision, lastRead := c.revision, c.lastRead
+	c.mu.Unlock()
+	if revision > 0 && now.Sub(lastRead) < fullReadPeriod {
+		state, newest, err := c.opt.States.AwaitState(ctx, revision, awaitTime)
+		if !errkind.Is(err, errkind.Stale) {
+			return state, newest, err
+		}
+	}
+	return c.opt.States.ReadState(ctx)
+}
+
+// storeFailed follows a failed call of the store.
+func (c *core) storeFailed(err error) {
+	now := time.Now()
+	c.metrics.storeErrors.Inc()
+	c.follower.Failed(now)
+	if !c.storeDown {
+		c.storeDown = true
+		c.log.failure("lost the platform's store; the state in force stays", err, fields{"version": c.follower.Table().Version(), "age": c.follower.Age(now)})
+	}
+}
+
 // fetchState gets a newer desired state from another process.
 func (c *core) fetchState(ctx context.Context, from netip.AddrPort) {
 	begun := time.Now()
@@ -270,7 +316,7 @@
 	state, err := statesync.Fetch(ctx, from, have)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.fetching, from)
+	c.fetching = time.Time{}
 	if err != nil {
 		c.metrics.fetchErrors.Inc()
 		c.log.failure("cannot fetch a newer desired state", err, fields{logging.FieldPeer: from})
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -24,6 +24,9 @@
 	TypeNotice
 	// TypeClaim tells the homes of flows which agent has them.
 	TypeClaim
+	// TypeQuery asks an agent whether it has a flow, and TypeAnswer answers.
+	TypeQuery
+	TypeAnswer
 	// TypeMembership carries a message of package fleet.
 	TypeMembership
 )
@@ -47,6 +50,9 @@
 	Balancer flow.Endpoint
 	// Expected is set when the balancer believes that the receiver has the flow.
 	Expected bool
+	// Search is set when a flow's home looks for the flow: the backend server may hold
+	// it, and if not, the home at Balancer hears of it.
+	Search bool
 	// Born is the start of the backend server that the balancer believes to hold
 	// the flow, in Unix milliseconds; zero when not known.
 	Born int64
@@ -59,8 +65,11 @@
 	Packet  []byte
 }
 
-// flagExpected marks Forward.Expected.
-const flagExpected = 1
+// Bits of the flags of a forwarded packet.
+const (
+	flagExpected = 1 << iota
+	flagSearch
+)
 
 // AppendTo appends the encoded datagram to b.
 func (f *Forward) AppendTo(b []byte) []byte {
@@ -68,6 +77,9 @@
 	if f.Expected {
 		flags |= flagExpected
 	}
+	if f.Search {
+		flags |= flagSearch
+	}
 	b = append(b, byte(TypeForward), flags, byte(len(f.Visited)))
 	b = appendEndpoint(b, f.Balancer)
 	b = binary.BigEndian.AppendUint64(b, uint64(f.Born))
@@ -90,6 +102,7 @@
 	}
 	f := Forward{
 		Expected: b[1]&flagExpected != 0,
+		Search:   b[1]&flagSearch != 0,
 		Balancer: endpoint(b[3:]),
 		Born:     int64(binary.BigEndian.Uint64(b[9:])),
 		Version:  binary.BigEndian.Uint64(b[17:]),
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -56,8 +56,22 @@
 	services   map[string][]fleet.Member
 	members    map[netip.AddrPort]fleet.Member
 	ring       []point
+	agents     []netip.AddrPort
+	// doubt is set while some agent has gone without a word: it may be back, and its
+	// backend server may hold flows meanwhile.
+	doubt bool
+	// lastNew is when an agent was first seen.
+	lastNew time.Time
+	started time.Time
 }
 
+// settleTime is how long no new agent must have appeared until the agents are
+// taken as known, and startTime how long a process must run for that.
+const (
+	settleTime = 400 * time.Millisecond
+	startTime  = 900 * time.Millisecond
+)
+
 // point is a place of an agent on the ring of homes.
 type point struct {
 	hash  uint64
@@ -68,8 +82,9 @@
 const pointsPerAgent = 8
 
 // NewBoard returns the board of the process at self.
-func NewBoard(self netip.AddrPort, dataCentre string, random *rand.Rand) *Board {
+func NewBoard(now time.Time, self netip.AddrPort, dataCentre string, random *rand.Rand) *Board {
 	return &Board{
+		started:    now,
 		self:       self,
 		dataCentre: dataCentre,
 		rand:       random,
@@ -80,15 +95,25 @@
 }
 
 // SetMembers takes over a new view of the members.
-func (b *Board) SetMembers(members []fleet.Member) {
+func (b *Board) SetMembers(now time.Time, members []fleet.Member) {
+	known := len(b.agents)
+	b.agents = b.agents[:0]
+	b.doubt = false
 	clear(b.services)
 	clear(b.members)
 	b.ring = b.ring[:0]
 	for _, m := range members {
 		b.members[m.Addr] = m
-		if m.Role != fleet.Agent || m.Liveness == fleet.Dead {
+		if m.Role != fleet.Agent {
+			continue
+		}
+		if m.Liveness >= fleet.Suspect && m.Backend.State != fleet.BackendGone {
+			b.doubt = true
+		}
+		if m.Liveness == fleet.Dead {
 			continue
 		}
+		b.agents = append(b.agents, m.Addr)
 		b.services[m.Backend.Service] = append(b.services[m.Backend.Service], m)
 		for i := range pointsPerAgent {
 			b.ring = append(b.ring, point{hash: pointHash(m.Addr, i), agent: m.Addr})
@@ -97,6 +122,9 @@
 	slices.SortFunc(b.ring, func(a, o point) int {
 		return cmp.Or(cmp.Compare(a.hash, o.hash), a.agent.Compare(o.agent))
 	})
+	if len(b.agents) > known {
+		b.lastNew = now
+	}
 	for a := range b.loads {
 		if _, ok := b.members[a]; !ok {
 			delete(b.loads, a)
@@ -109,6 +137,15 @@
 	return xxhash.Sum64([]byte{ip[0], ip[1], ip[2], ip[3], byte(a.Port() >> 8), byte(a.Port()), byte(i)})
 }
 
+// IsSettled reports whether the agents that are known are certainly all that may
+// have flows: none has gone without a word, and no new one has appeared for a while.
+func (b *Board) IsSettled(now time.Time) bool {
+	return !b.doubt && now.Sub(b.started) >= startTime && now.Sub(b.lastNew) >= settleTime
+}
+
+// AllAgents returns the agents that are not dead. The slice must not be changed.
+func (b *Board) AllAgents() []netip.AddrPort { return b.agents }
+
 // Member returns what is known of the process at a.
 func (b *Board) Member(a netip.AddrPort) (fleet.Member, bool) {
 	m, ok := b.members[a]
--- a/internal/statesync/exchange.go
+++ b/internal/statesync/exchange.go
@@ -1,6 +1,7 @@
 package statesync
 
 import (
+	"compress/flate"
 	"context"
 	"net"
 	"net/netip"
@@ -44,7 +45,7 @@
 		return route.State{}, unavailable(err, addr)
 	}
 	var answer response
-	if err := msgpack.NewDecoder(conn).Decode(&answer); err != nil {
+	if err := msgpack.NewDecoder(flate.NewReader(conn)).Decode(&answer); err != nil {
 		return route.State{}, unavailable(err, addr)
 	}
 	return answer.State, nil
@@ -75,8 +76,12 @@
 	if t := current(); t.Version() > asked.Have {
 		given.State = t.State()
 	}
-	// A peer that does not get the whole answer asks another process.
-	_ = msgpack.NewEncoder(conn).Encode(given)
+	// Routes are much alike, and links between data centres are dear. A peer that does
+	// not get the whole answer asks another process.
+	compressed, err := flate.NewWriter(conn, flate.BestSpeed)
+	if err == nil && msgpack.NewEncoder(compressed).Encode(given) == nil {
+		_ = compressed.Close()
+	}
 }
 
 func unavailable(cause error, addr netip.AddrPort) error {
