First contact by roster, checks of the backend server, home asks its own backend server

Change: the existing roster names contacts; an agent checks its backend server at start; a home probes its own backend server before it asks others.

--- a/internal/flowagent/flowagent.go
+++ b/internal/flowagent/flowagent.go
@@ -42,12 +42,14 @@
 	Searched
 	// Lost packets were dropped: no agent that was asked has their flow.
 	Lost
+	// Claimed is no packet: the homes of flows are told who has them.
+	Claimed
 	// Replied packets went from the backend server to the caller.
 	Replied
 )
 
 // Outcomes lists the names of all outcomes, for metrics.
-var Outcomes = [...]string{"malformed", "delivered", "opened", "probed", "passed", "refused", "ended", "searched", "lost", "replied"}
+var Outcomes = [...]string{"malformed", "delivered", "opened", "probed", "passed", "refused", "ended", "searched", "lost", "claimed", "replied"}
 
 // String returns the outcome as logs show it.
 func (o Outcome) String() string { return Outcomes[o] }
@@ -204,18 +206,19 @@
 	return d
 }
 
-// Tick forgets old flows, and tells the homes of flows whose homes have changed.
-func (a *Agent) Tick(now time.Time, homesChanged bool) []hop.Send {
+// Tick forgets old flows, reviews searches, and tells the homes of flows whose homes
+// have changed.
+func (a *Agent) Tick(now time.Time, homesChanged bool) []Decision {
 	idle := a.routes.IdleTimeout()
 	if idle == 0 {
 		idle = defaultIdleTimeout
 	}
 	a.flows.Expire(now, idle+idleMargin)
-	a.expireSearches(now)
-	if !homesChanged {
-		return nil
+	decisions := a.reviewSearches(now)
+	if homesChanged {
+		decisions = append(decisions, Decision{Outcome: Claimed, Sends: a.claimAll()})
 	}
-	return a.claimAll()
+	return decisions
 }
 
 // mayHoldUnseen reports whether the backend server may hold flows that this process
--- a/internal/flowagent/forward.go
+++ b/internal/flowagent/forward.go
@@ -115,14 +115,19 @@
 		return a.end(d, p, "backend_restarted")
 	}
 	if f.Search && a.mayHoldUnseen(now, key) {
-		d.Outcome = Probed
-		a.embark(f, p)
-		d.Backend = p.Raw
-		return d
+		return a.probe(f, p, d)
 	}
 	return a.passOn(now, f, p, d)
 }
 
+// probe hands a packet to the backend server, which returns it if it does not hold the flow.
+func (a *Agent) probe(f hop.Forward, p *flow.Packet, d Decision) Decision {
+	d.Outcome = Probed
+	a.embark(f, p)
+	d.Backend = p.Raw
+	return d
+}
+
 // end resets a flow whose backend server is certainly gone.
 func (a *Agent) end(d Decision, p *flow.Packet, reason string) Decision {
 	d.Outcome = Ended
--- a/internal/flowagent/report.go
+++ b/internal/flowagent/report.go
@@ -37,6 +37,8 @@
 	sequence  int64
 	warmUntil time.Time
 	goneAt    time.Time
+	// heard is when the last report was taken.
+	heard time.Time
 }
 
 // NewReports returns the follower of a backend server of service.
@@ -57,6 +59,7 @@
 			fmt.Sprintf("report %d of the start at %d is older than report %d of the start at %d", report.Sequence, report.Born, r.sequence, r.backend.Born),
 			"none needed: the newer report holds")
 	}
+	r.heard = now
 	r.id = report.ID
 	r.sequence = report.Sequence
 	r.goneAt = time.Time{}
@@ -79,6 +82,29 @@
 	return r.backend
 }
 
+// Silence returns how long no report was taken; it is zero before the first one.
+func (r *Reports) Silence(now time.Time) time.Duration {
+	if r.heard.IsZero() {
+		return 0
+	}
+	return now.Sub(r.heard)
+}
+
+// Assume returns a state that a check has shown before the first report, with a
+// number of slots to go by until then.
+func (r *Reports) Assume(state fleet.BackendState, slots uint16) fleet.Backend {
+	if r.heard.IsZero() {
+		r.backend.State, r.backend.Slots = state, slots
+	}
+	return r.backend
+}
+
+// Gone notes that the backend server has ended without a word.
+func (r *Reports) Gone() fleet.Backend {
+	r.backend.State = fleet.BackendGone
+	return r.backend
+}
+
 // Review returns the state of the backend server and whether time alone has changed it.
 func (r *Reports) Review(now time.Time) (fleet.Backend, bool) {
 	before := r.backend
--- a/internal/flowagent/search.go
+++ b/internal/flowagent/search.go
@@ -11,9 +11,12 @@
 )
 
 const (
-	// searchTime bounds a search; agents that have not answered by then leave its
-	// outcome open.
-	searchTime = 200 * time.Millisecond
+	// searchTime is how long the agents have to answer; an agent that has not answered
+	// by then leaves the outcome open.
+	searchTime = 150 * time.Millisecond
+	// startTime is how long a process that has just started keeps searches open: its
+	// view of the agents is not whole yet.
+	startTime = time.Second
 	// repeatTime is how long packets of a flow whose search had no result are dropped
 	// without another search.
 	repeatTime = 300 * time.Millisecond
@@ -25,18 +28,21 @@
 
 // search is the question of a flow's home to all agents that may have the flow.
 type search struct {
-	began time.Time
-	// ended is set once the search had no result; its flow is not searched for again
-	// until some time later.
+	// asked is when the agents were asked last.
+	asked time.Time
+	// ended is set once the search is over; its flow is not searched for again until
+	// some time later.
 	ended time.Time
 	// waiting lists the agents that have not answered, unsure those that got the packet
 	// because they could not tell.
 	waiting, unsure []flow.Endpoint
-	// certain is set if a search that finds nothing proves that nobody has the flow.
-	certain bool
-	forward hop.Forward
-	ack     uint32
-	reset   bool
+	// complete is set if the agents asked are all that there are.
+	complete bool
+	forward  hop.Forward
+	front    flow.Endpoint
+	ack      uint32
+	// reset is set if the caller gets a reset when nobody has the flow.
+	reset bool
 }
 
 // locate decides about a packet of a flow that neither this agent nor any claim is
@@ -47,23 +53,32 @@
 		f.Visited = append(slices.Clip(f.Visited), a.self)
 		return a.passTo(f, d, home, "home")
 	}
+	if a.mayHoldUnseen(now, d.Key) {
+		return a.probe(f, p, d) // the home's own backend server comes first
+	}
 	if s, ok := a.searches.Get(d.Key); ok && (s.ended.IsZero() || now.Sub(s.ended) < repeatTime) {
 		d.Outcome, d.Reason = Lost, "search_under_way"
 		return d
 	}
-	s := &search{began: now, forward: f, ack: p.Ack, reset: !p.Flags.Has(flow.RST)}
+	s := &search{forward: f, front: p.Dst, ack: p.Ack, reset: !p.Flags.Has(flow.RST)}
 	s.forward.Packet = slices.Clone(p.Raw)
-	asked, complete := a.candidates(p.Dst)
-	s.certain = complete && a.cfg.Board.IsSettled(now)
-	q := hop.Query{Key: d.Key, Ack: p.Ack, Home: a.self}
-	for _, to := range asked {
+	a.searches.Add(d.Key, s)
+	return a.ask(now, d, s)
+}
+
+// ask sends the question of a search to all agents that may have the flow.
+func (a *Agent) ask(now time.Time, d Decision, s *search) Decision {
+	d.Outcome = Searched
+	agents, complete := a.candidates(s.front)
+	s.asked, s.complete = now, complete
+	s.waiting, s.unsure = s.waiting[:0], nil
+	q := hop.Query{Key: d.Key, Ack: s.ack, Home: a.self}
+	for _, to := range agents {
 		if e := flow.EndpointOf(to); e != a.self {
 			s.waiting = append(s.waiting, e)
 			d.Sends = append(d.Sends, hop.Send{To: to, Payload: q.AppendTo(nil)})
 		}
 	}
-	a.searches.Add(d.Key, s)
-	d.Outcome = Searched
 	if len(s.waiting) == 0 {
 		return a.conclude(now, d, s)
 	}
@@ -147,11 +162,15 @@
 }
 
 // conclude ends a search in which all agents have said that they do not have the
-// flow. If these are certainly all agents, the caller is told at once.
+// flow. If these are certainly all agents, the caller is told at once. A process
+// that has just started keeps the search open until it knows the agents.
 func (a *Agent) conclude(now time.Time, d Decision, s *search) Decision {
-	s.ended = now
-	s.forward.Packet = nil
-	if !s.certain {
+	settled := a.cfg.Board.IsSettled(now)
+	if !settled && now.Sub(a.started) < startTime {
+		return d
+	}
+	s.end(now)
+	if !settled || !s.complete {
 		d.Outcome, d.Reason = Lost, "members_in_doubt"
 		return d
 	}
@@ -162,19 +181,29 @@
 	return d
 }
 
-// expireSearches ends searches in which some agent has not answered.
-func (a *Agent) expireSearches(now time.Time) {
+func (s *search) end(now time.Time) {
+	s.ended = now
+	s.forward.Packet = nil
+}
+
+// reviewSearches asks again in searches that a new process has kept open, ends those
+// in which some agent has not answered, and forgets old ones.
+func (a *Agent) reviewSearches(now time.Time) []Decision {
+	var decisions []Decision
 	for _, key := range a.searches.Keys() {
 		s, ok := a.searches.Peek(key)
-		if !ok || now.Sub(s.began) < searchTime {
-			return // the keys are in the order of their use
-		}
-		if s.ended.IsZero() {
-			s.ended = now
-			s.forward.Packet = nil
-		}
-		if now.Sub(s.ended) >= repeatTime {
-			a.searches.Remove(key)
+		switch {
+		case !ok || now.Sub(s.asked) < searchTime:
+		case !s.ended.IsZero():
+			if now.Sub(s.ended) >= repeatTime {
+				a.searches.Remove(key)
+			}
+		case now.Sub(a.started) < startTime+2*searchTime:
+			decisions = append(decisions, a.ask(now, Decision{Key: key}, s))
+		default:
+			s.end(now)
+			decisions = append(decisions, Decision{Outcome: Lost, Key: key, Reason: "agent_silent"})
 		}
 	}
+	return decisions
 }
--- a/internal/flowproc/agent.go
+++ b/internal/flowproc/agent.go
@@ -7,12 +7,10 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/fleet"
 	"github.com/almondledge/almondledge/internal/flowagent"
 	"github.com/almondledge/almondledge/internal/hop"
 	"github.com/almondledge/almondledge/internal/route"
-	"github.com/almondledge/almondledge/internal/statesync"
 	"github.com/almondledge/almondledge/internal/udpbatch"
 )
 
@@ -44,7 +42,7 @@
 	a := &Agent{cfg: cfg, reports: flowagent.NewReports(cfg.Service)}
 	self := fleet.Member{Role: fleet.Agent, Backend: fleet.Backend{Service: cfg.Service}}
 	var err error
-	if a.core, err = newCore(cfg.Common, opt, self, statesync.AgentPatience); err != nil {
+	if a.core, err = newCore(cfg.Common, opt, self); err != nil {
 		return nil, err
 	}
 	a.role = a
@@ -80,6 +78,10 @@
 	a.start(ctx, group)
 	closeAtEnd(ctx, a.fromBackend)
 	group.Go(func() error { return a.readBackend(ctx) })
+	group.Go(func() error {
+		a.checkBackend(ctx)
+		return nil
+	})
 	group.Go(func() error { return a.serveMetrics(ctx) })
 	group.Go(func() error {
 		select {
@@ -148,11 +150,8 @@
 	reader := a.fromBackend.NewReader()
 	for {
 		count, err := reader.Read()
-		if ctx.Err() != nil {
-			return nil
-		}
 		if err != nil {
-			return errkind.Wrap(err, errkind.Unavailable, "cannot read the backend server's socket", "check that the address belongs to this instance")
+			return readError(ctx, err, "cannot read the backend server's socket")
 		}
 		a.mu.Lock()
 		now := time.Now()
@@ -235,8 +234,8 @@
 		a.reclaim = false
 		a.nextReclaim = now.Add(reclaimPeriod)
 	}
-	for _, s := range a.agent.Tick(now, reclaim) {
-		a.send(s.To, s.Payload)
+	for _, d := range a.agent.Tick(now, reclaim) {
+		a.carryOut(now, d)
 	}
 	if b, changed := a.reports.Review(now); changed {
 		a.setBackend(now, b, "")
--- a/internal/flowproc/balancer.go
+++ b/internal/flowproc/balancer.go
@@ -7,14 +7,12 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/fleet"
 	"github.com/almondledge/almondledge/internal/flow"
 	"github.com/almondledge/almondledge/internal/flowbalancer"
 	"github.com/almondledge/almondledge/internal/hop"
 	"github.com/almondledge/almondledge/internal/logging"
 	"github.com/almondledge/almondledge/internal/route"
-	"github.com/almondledge/almondledge/internal/statesync"
 	"github.com/almondledge/almondledge/internal/telemetry"
 	"github.com/almondledge/almondledge/internal/udpbatch"
 )
@@ -48,7 +46,7 @@
 	}
 	b := &Balancer{cfg: cfg, buffer: make([]byte, 0, udpbatch.MaxDatagram)}
 	var err error
-	if b.core, err = newCore(cfg.Common, opt, fleet.Member{Role: fleet.Balancer}, statesync.BalancerPatience); err != nil {
+	if b.core, err = newCore(cfg.Common, opt, fleet.Member{Role: fleet.Balancer}); err != nil {
 		return nil, err
 	}
 	b.role = b
@@ -71,6 +69,10 @@
 	b.start(ctx, group)
 	closeAtEnd(ctx, b.callers)
 	group.Go(func() error { return b.readCallers(ctx) })
+	group.Go(func() error {
+		b.holdRosterPlace(ctx)
+		return nil
+	})
 	group.Go(func() error { return b.serveMetrics(ctx) })
 	group.Go(func() error {
 		select {
@@ -101,11 +103,8 @@
 	reader := b.callers.NewReader()
 	for {
 		count, err := reader.Read()
-		if ctx.Err() != nil {
-			return nil
-		}
 		if err != nil {
-			return errkind.Wrap(err, errkind.Unavailable, "cannot read the callers' socket", "check that the address belongs to this instance")
+			return readError(ctx, err, "cannot read the callers' socket")
 		}
 		b.mu.Lock()
 		now := time.Now()
--- /dev/null
+++ b/internal/flowproc/check.go
@@ -0,0 +1,100 @@
+package flowproc
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/fleet"
+)
+
+const (
+	// checkPeriod is the time between two looks at whether the backend server needs a check.
+	checkPeriod = 50 * time.Millisecond
+	// checkTimeout bounds one check.
+	checkTimeout = 400 * time.Millisecond
+	// checkRetry is the pause after a check that told nothing.
+	checkRetry = time.Second
+	// reportSilence is the silence after which the backend server is checked.
+	reportSilence = 2600 * time.Millisecond
+	// defaultSlots holds until the backend server has said how many it has.
+	defaultSlots = 4
+)
+
+// checkBackend asks the backend server itself when its reports do not tell how it
+// is: at start, before the first report, and when reports stay out. It returns
+// when ctx ends.
+func (a *Agent) checkBackend(ctx context.Context) {
+	client := &http.Client{Timeout: checkTimeout, Transport: &http.Transport{
+		DisableKeepAlives: true,
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return a.opt.Network.DialTCP(ctx, address)
+		},
+	}}
+	for ctx.Err() == nil {
+		path, due := a.checkDue(time.Now())
+		if !due {
+			waitFor(ctx, checkPeriod)
+			continue
+		}
+		ready, err := a.askHealth(ctx, client, path)
+		if !a.checked(time.Now(), ready, err) {
+			waitFor(ctx, checkRetry)
+		}
+	}
+}
+
+// checkDue returns the path of the health check, and whether a check is due.
+func (a *Agent) checkDue(now time.Time) (string, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	service := a.follower.Table().Service(a.cfg.Service)
+	if service == nil || a.leaving {
+		return "", false
+	}
+	switch a.agent.Backend().State {
+	case fleet.BackendUnknown:
+		return service.HealthPath, true
+	case fleet.BackendGone:
+		return "", false
+	default:
+		return service.HealthPath, a.reports.Silence(now) >= reportSilence
+	}
+}
+
+func (a *Agent) askHealth(ctx context.Context, client *http.Client, path string) (ready bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.cfg.Backend.String()+path, http.NoBody)
+	if err != nil {
+		return false, err
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return false, err
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK, nil
+}
+
+// checked follows the outcome of a check, and reports whether it has settled the
+// state of the backend server. Only a refused connection shows that it has ended.
+func (a *Agent) checked(now time.Time, ready bool, err error) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b := a.agent.Backend()
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED) && b.Born != 0:
+		a.setBackend(now, a.reports.Gone(), "")
+		return true
+	case err == nil && ready && b.State == fleet.BackendUnknown:
+		a.setBackend(now, a.reports.Assume(fleet.BackendReady, defaultSlots), "")
+		return true
+	default:
+		a.log.event("backend server checked", fields{"ready": ready, "result": err, "state": b.State, "silence": a.reports.Silence(now)})
+		return false
+	}
+}
--- a/internal/flowproc/config.go
+++ b/internal/flowproc/config.go
@@ -15,6 +15,7 @@
 	"github.com/almondledge/almondledge/internal/flow"
 	"github.com/almondledge/almondledge/internal/logring"
 	"github.com/almondledge/almondledge/internal/network"
+	"github.com/almondledge/almondledge/internal/roster"
 	"github.com/almondledge/almondledge/internal/route"
 )
 
@@ -24,10 +25,10 @@
 	// carry a kind of package errkind; Invalid means that there is a state and that it
 	// cannot be used.
 	ReadState(ctx context.Context) (route.State, int64, error)
-	// AwaitState waits for a state newer than a revision and returns it, or the
-	// revision itself with a zero state when none came. Only a state costs more than a few bytes. An error of
-	// kind Stale means that the store has forgotten the changes since then.
-	AwaitState(ctx context.Context, revision int64, wait time.Duration) (route.State, int64, error)
+	// ReadChange returns the newest state after a revision, or the revision itself with
+	// a zero state when there is none, which costs a few bytes only. An error of kind
+	// Stale means that the store has forgotten the changes since then.
+	ReadChange(ctx context.Context, revision int64) (route.State, int64, error)
 }
 
 // Common is what both roles need.
@@ -70,7 +71,9 @@
 	Network network.Network
 	Codec   flow.Codec
 	States  StateSource
-	Log     log.Interface
+	// Roster holds addresses for first contact; nil means that there are only seeds.
+	Roster roster.Store
+	Log    log.Interface
 	// Ring is the buffer behind Log; samples of ordinary work are logged while it has
 	// room. It may be nil.
 	Ring *logring.Writer
--- a/internal/flowproc/core.go
+++ b/internal/flowproc/core.go
@@ -23,8 +23,6 @@
 const (
 	// readTimeout bounds one read of the desired state from the store.
 	readTimeout = 900 * time.Millisecond
-	// awaitTime is how long the store may hold back an answer until there is a change.
-	awaitTime = 500 * time.Millisecond
 	// fullReadPeriod is how often a state is read in full although the store reports
 	// no change: a broken wait for changes must not go unnoticed for long.
 	fullReadPeriod = 8 * time.Second
@@ -78,14 +76,18 @@
 }
 
 // newCore binds the sockets between processes.
-func newCore(cfg Common, opt Options, self fleet.Member, patience time.Duration) (*core, error) {
+func newCore(cfg Common, opt Options, self fleet.Member) (*core, error) {
 	now := time.Now()
+	rank := statesync.AgentRank
+	if self.Role == fleet.Balancer {
+		rank = 0
+	}
 	c := &core{
 		cfg:      cfg,
 		opt:      opt,
 		log:      newEventLog(opt),
 		board:    placement.NewBoard(now, cfg.Peer, cfg.DataCentre, opt.Rand),
-		follower: statesync.NewFollower(now, patience, opt.Rand),
+		follower: statesync.NewFollower(now, rank, opt.Rand),
 		started:  now,
 	}
 	self.Addr = cfg.Peer
@@ -121,6 +123,10 @@
 		return nil
 	})
 	group.Go(func() error { return c.tickLoop(ctx) })
+	group.Go(func() error {
+		c.contactRoster(ctx)
+		return nil
+	})
 }
 
 // closeAtEnd closes a socket when ctx ends, which ends the reads of it. An error of
@@ -211,20 +217,33 @@
 func (c *core) refreshBoard(now time.Time) {
 	if generation := c.node.Generation(); generation != c.generation {
 		c.generation = generation
-		c.board.SetMembers(now, c.node.Members())
+		members := c.node.Members()
+		c.board.SetMembers(now, members)
+		if c.node.Self().Role == fleet.Balancer {
+			c.follower.SetRank(rankAmongBalancers(members, c.cfg.Peer))
+		}
 		c.role.membersChanged(now)
 	}
 }
 
+// rankAmongBalancers returns how many balancers that are alive stand before the one
+// at self in the order of their addresses.
+func rankAmongBalancers(members []fleet.Member, self netip.AddrPort) int {
+	rank := 0
+	for _, m := range members {
+		if m.Role == fleet.Balancer && m.Liveness == fleet.Alive && m.Addr.Compare(self) < 0 {
+			rank++
+		}
+	}
+	return rank
+}
+
 func (c *core) readPeers(ctx context.Context) error {
 	reader := c.peer.NewReader()
 	for {
 		count, err := reader.Read()
-		if ctx.Err() != nil {
-			return nil
-		}
 		if err != nil {
-			return errkind.Wrap(err, errkind.Unavailable, "cannot read the socket between processes", "check that the peer address belongs to this instance")
+			return readError(ctx, err, "cannot read the socket between processes")
 		}
 		c.mu.Lock()
 		now := time.Now()
@@ -235,6 +254,14 @@
 	}
 }
 
+// readError returns why the reads of a socket ended, or nil if the process ends.
+func readError(ctx context.Context, cause error, message string) error {
+	if ctx.Err() == nil {
+		return errkind.Wrap(cause, errkind.Unavailable, message, "check that the address belongs to this instance")
+	}
+	return nil
+}
+
 func (c *core) handleDatagram(ctx context.Context, now time.Time, from netip.AddrPort, datagram []byte) {
 	if len(datagram) == 0 {
 		c.metrics.badDatagrams.Inc()
@@ -282,15 +309,14 @@
 	}
 }
 
-// askStore waits a little for a change, or reads the whole state if none was read
-// for long or the store has forgotten the changes. It returns a zero state when
-// there is no change.
+// askStore asks for a change, or reads the whole state if none was read for long
+// or the store has forgotten the changes. It returns a zero state when there is no change.
 func (c *core) askStore(ctx context.Context, now time.Time) (route.State, int64, error) {
 	c.mu.Lock()
 	revision, lastRead := c.revision, c.lastRead
 	c.mu.Unlock()
 	if revision > 0 && now.Sub(lastRead) < fullReadPeriod {
-		state, newest, err := c.opt.States.AwaitState(ctx, revision, awaitTime)
+		state, newest, err := c.opt.States.ReadChange(ctx, revision)
 		if !errkind.Is(err, errkind.Stale) {
 			return state, newest, err
 		}
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -68,8 +68,8 @@
 // settleTime is how long no new agent must have appeared until the agents are
 // taken as known, and startTime how long a process must run for that.
 const (
-	settleTime = 400 * time.Millisecond
-	startTime  = 900 * time.Millisecond
+	settleTime = 300 * time.Millisecond
+	startTime  = 500 * time.Millisecond
 )
 
 // point is a place of an agent on the ring of homes.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -39,6 +39,9 @@
 	// CheckInterval is the mean time between two looks for a free place.
 	CheckInterval = 10 * time.Minute
 
+	// maxContacts bounds the addresses taken from the rosters of all data centres.
+	maxContacts = 16 * Places
+
 	renewalsPerTTL = 3
 	retriesPerTTL  = 10
 )
@@ -57,12 +60,28 @@
 	return fmt.Sprintf("%s%d", prefixOf(dataCentre), place)
 }
 
+// Store is what a roster needs of the platform's store; store.Store has it all.
+type Store interface {
+	Range(ctx context.Context, prefix string) (store.Snapshot, error)
+	Commit(ctx context.Context, txn store.Txn) (store.TxnResult, error)
+	Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error)
+	KeepAlive(ctx context.Context, id store.LeaseID) error
+	Revoke(ctx context.Context, id store.LeaseID) error
+}
+
+// EveryDataCentre in place of a data centre names the rosters of all of them.
+const EveryDataCentre = ""
+
 // Contacts returns addresses for first contact: those of the settings, then
 // those of the roster. It returns the former also with an error, when the
-// roster cannot be read.
-func Contacts(ctx context.Context, st store.Store, dataCentre string, settings []netip.AddrPort) ([]netip.AddrPort, error) {
+// roster cannot be read. The rosters of all data centres are read with EveryDataCentre.
+func Contacts(ctx context.Context, st Store, dataCentre string, settings []netip.AddrPort) ([]netip.AddrPort, error) {
 	contacts := slices.Clone(settings)
-	snapshot, err := st.Range(ctx, prefixOf(dataCentre))
+	prefix, limit := prefixOf(dataCentre), len(settings)+Places
+	if dataCentre == EveryDataCentre {
+		prefix, limit = Prefix, len(settings)+maxContacts
+	}
+	snapshot, err := st.Range(ctx, prefix)
 	if err != nil {
 		return contacts, err
 	}
@@ -73,7 +92,7 @@
 				"find out what other than almondledge writes under "+Prefix)
 			continue
 		}
-		if !slices.Contains(contacts, found.Address) && len(contacts) < len(settings)+Places {
+		if !slices.Contains(contacts, found.Address) && len(contacts) < limit {
 			contacts = append(contacts, found.Address)
 		}
 	}
--- a/internal/roster/run.go
+++ b/internal/roster/run.go
@@ -18,10 +18,13 @@
 
 // Config configures Run.
 type Config struct {
-	Store      store.Store
+	Store      Store
 	DataCentre string
 	// Self is the address to enter.
 	Self netip.AddrPort
+	// FirstLook is the time within which the balancer first looks for a place; zero
+	// means CheckInterval.
+	FirstLook time.Duration
 	// Random returns numbers in [0, 1). Nil means math/rand.
 	Random func() float64
 	// Log takes one event for each change of the place. Nil means the default logger.
@@ -43,7 +46,12 @@
 	if cfg.Log == nil {
 		cfg.Log = log.Log
 	}
-	r := &runner{Config: cfg, holder: NewHolder(cfg.DataCentre, cfg.Self, time.Now(), cfg.Random())}
+	if cfg.FirstLook == 0 {
+		cfg.FirstLook = CheckInterval
+	}
+	now := time.Now()
+	r := &runner{Config: cfg, holder: NewHolder(cfg.DataCentre, cfg.Self, now, cfg.Random())}
+	r.holder.wakeAt = now.Add(fraction(cfg.FirstLook, cfg.Random()))
 	for ctx.Err() == nil {
 		r.step(ctx)
 	}
--- a/internal/statesync/follower.go
+++ b/internal/statesync/follower.go
@@ -13,14 +13,16 @@
 
 // Times between reads of the store.
 const (
-	// BalancerPatience and AgentPatience are how old the newest known confirmation may
-	// become until a process reads the store itself. Agents leave it to balancers
-	// unless they hear from none.
-	BalancerPatience = 800 * time.Millisecond
-	AgentPatience    = 1700 * time.Millisecond
-	// patienceJitter spreads the processes, so that mostly one reads and the others
-	// hear of it.
-	patienceJitter = 500 * time.Millisecond
+	// firstPatience, secondPatience and balancerPatience are how old the newest known
+	// confirmation may become until a balancer reads the store itself: the first and
+	// the second in the order of balancers, and all others. Agents leave it to
+	// balancers unless they hear from none.
+	firstPatience    = 700 * time.Millisecond
+	secondPatience   = 1300 * time.Millisecond
+	balancerPatience = 1600 * time.Millisecond
+	agentPatience    = 2000 * time.Millisecond
+	// patienceJitter spreads the processes.
+	patienceJitter = 300 * time.Millisecond
 	// firstAgentDelay lets agents that have just started ask their peers first.
 	firstAgentDelay = 150 * time.Millisecond
 	// retryMin and retryMax bound the pause after a failed read.
@@ -43,15 +45,34 @@
 	jitter    time.Duration
 }
 
-// NewFollower returns a follower that starts at time now without a state.
-func NewFollower(now time.Time, patience time.Duration, random *rand.Rand) *Follower {
-	f := &Follower{patience: patience, rand: random, nextRead: now, confirmed: now.Add(-time.Hour)}
-	if patience >= AgentPatience {
+// AgentRank is the rank of all agents.
+const AgentRank = -1
+
+// NewFollower returns a follower that starts at time now without a state. The rank
+// is the place in the order of balancers, from zero, or AgentRank.
+func NewFollower(now time.Time, rank int, random *rand.Rand) *Follower {
+	f := &Follower{rand: random, nextRead: now, confirmed: now.Add(-time.Hour)}
+	f.SetRank(rank)
+	if rank == AgentRank {
 		f.nextRead = now.Add(firstAgentDelay)
 	}
 	return f
 }
 
+// SetRank changes the place in the order of balancers.
+func (f *Follower) SetRank(rank int) {
+	switch rank {
+	case AgentRank:
+		f.patience = agentPatience
+	case 0:
+		f.patience = firstPatience
+	case 1:
+		f.patience = secondPatience
+	default:
+		f.patience = balancerPatience
+	}
+}
+
 // Table returns the state in force, or nil.
 func (f *Follower) Table() *route.Table { return f.table }
 
