Crowded backend servers pass flows on; services of a route help each other

Ruled out: placement alone, since the burst exceeds all queues of one service. Change: an agent passes an opening packet on, or leaves it to the caller's next copy, from three requests a slot on (copies from two); the last copy is refused at once. A route's other service takes flows while the picked one is overloaded.

--- a/internal/flowagent/claim.go
+++ b/internal/flowagent/claim.go
@@ -13,6 +13,7 @@
 func (a *Agent) HandleClaim(c hop.Claim) {
 	for _, key := range c.Keys {
 		a.claims.Add(key, claimed{owner: c.Owner, born: c.Born})
+		a.searches.Remove(key)
 	}
 }
 
--- a/internal/flowagent/flowagent.go
+++ b/internal/flowagent/flowagent.go
@@ -34,6 +34,9 @@
 	Probed
 	// Passed packets went to another agent.
 	Passed
+	// Deferred opening packets were dropped because all backend servers are crowded;
+	// the caller's next copy may find room.
+	Deferred
 	// Refused opening packets were answered with a reset: no backend server took them.
 	Refused
 	// Ended packets were answered with a reset: the flow's backend server is gone.
@@ -49,7 +52,7 @@
 )
 
 // Outcomes lists the names of all outcomes, for metrics.
-var Outcomes = [...]string{"malformed", "delivered", "opened", "probed", "passed", "refused", "ended", "searched", "lost", "claimed", "replied"}
+var Outcomes = [...]string{"malformed", "delivered", "opened", "probed", "passed", "deferred", "refused", "ended", "searched", "lost", "claimed", "replied"}
 
 // String returns the outcome as logs show it.
 func (o Outcome) String() string { return Outcomes[o] }
@@ -86,6 +89,18 @@
 	homesTold = 2
 )
 
+// Limits of the requests in progress for each slot of the backend server.
+const (
+	// crowdedFirst is from where on first opening packets go elsewhere, and crowdedCopy
+	// from where on copies do.
+	crowdedFirst = 3
+	crowdedCopy  = 2
+	// lastCopy is the number of the last copy of an opening packet.
+	lastCopy = 2
+	// maxReliefs bounds the crowded agents that one opening packet passes.
+	maxReliefs = 2
+)
+
 // Times of the agent.
 const (
 	// foreignTime is how long the backend server is not asked again about a flow that
--- a/internal/flowagent/forward.go
+++ b/internal/flowagent/forward.go
@@ -43,13 +43,16 @@
 	if reason := a.unwilling(f, p); reason != "" {
 		return a.passOpening(now, f, p, reason)
 	}
+	if a.isCrowded(p) {
+		return a.relieve(now, f, p)
+	}
 	return a.deliverOpening(now, f, p, a.flows.Begin(now, key, f.Balancer))
 }
 
 func (a *Agent) deliverOpening(now time.Time, f hop.Forward, p *flow.Packet, e *flowtable.Entry) Decision {
 	e.Balancer = f.Balancer
 	a.flows.FromCaller(now, p.CallerKey(), e, p)
-	e.Cookie = a.embark(f, p)
+	a.embark(f, p)
 	return Decision{Outcome: Opened, Key: p.CallerKey(), Backend: p.Raw}
 }
 
@@ -71,6 +74,43 @@
 	return ""
 }
 
+// isCrowded reports whether a new flow's request would wait for long at the backend
+// server. Copies of an opening packet give way to first ones: their requests have
+// waited already, and are late in any case.
+func (a *Agent) isCrowded(p *flow.Packet) bool {
+	limit := crowdedFirst
+	if p.Ack > 0 {
+		limit = crowdedCopy
+	}
+	return a.flows.Active() >= limit*int(max(1, a.backend.Slots))
+}
+
+// relieve offers an opening packet to a less busy agent. If there is none, the
+// caller's next copy may find room; only the last copy is refused, since the
+// caller would otherwise wait for nothing.
+func (a *Agent) relieve(now time.Time, f hop.Forward, p *flow.Packet) Decision {
+	d := Decision{Outcome: Deferred, Key: p.CallerKey(), Reason: "crowded"}
+	d.Sends = a.notify(f.Balancer, d.Key, true)
+	f.Visited = append(slices.Clip(f.Visited), a.self)
+	if r := a.routes.Lookup(p.Dst); r != nil && len(f.Visited) <= maxReliefs {
+		skip := func(candidate netip.AddrPort) bool {
+			return slices.Contains(f.Visited, flow.EndpointOf(candidate))
+		}
+		to, service, found := a.cfg.Board.ChooseAmong(now, r, a.cfg.Service, skip)
+		if found && a.cfg.Board.Busy(to) < crowdedFirst {
+			f.Version, f.Service = a.routes.Version(), placement.ServiceHash(service)
+			d.Outcome = Passed
+			d.Sends = append(d.Sends, hop.Send{To: to, Payload: f.AppendTo(nil)})
+			return d
+		}
+	}
+	if p.Ack >= lastCopy {
+		d.Outcome = Refused
+		d.Replies = []Reply{{d.Key.Caller, a.cfg.Codec.Reset(d.Key, 0)}}
+	}
+	return d
+}
+
 // passOpening offers an opening packet to another agent, or refuses it at once
 // when there is none: the caller then knows that nothing has run.
 func (a *Agent) passOpening(now time.Time, f hop.Forward, p *flow.Packet, reason string) Decision {
@@ -176,7 +216,7 @@
 
 // embark remembers the way of a packet that goes to the backend server, so that
 // it can go on if it is returned.
-func (a *Agent) embark(f hop.Forward, p *flow.Packet) uint32 {
+func (a *Agent) embark(f hop.Forward, p *flow.Packet) {
 	a.lastCookie++
 	if a.lastCookie == 0 {
 		a.lastCookie = 1
@@ -185,5 +225,4 @@
 	f.Visited = slices.Clone(f.Visited)
 	a.journeys[a.lastCookie%cookies] = journey{cookie: a.lastCookie, forward: f}
 	a.cfg.Codec.SetCookie(p.Raw, a.lastCookie)
-	return a.lastCookie
 }
--- a/internal/flowbalancer/flowbalancer.go
+++ b/internal/flowbalancer/flowbalancer.go
@@ -140,7 +140,8 @@
 		d.Doubted, d.Outcome = avoid, Replaced
 		b.board.Doubt(now, avoid)
 	}
-	agent, found := b.board.Choose(now, d.Service, func(a netip.AddrPort) bool { return a == avoid })
+	agent, service, found := b.board.ChooseAmong(now, r, d.Service, func(a netip.AddrPort) bool { return a == avoid })
+	d.Service = service
 	if !found {
 		return b.refuse(d, NoBackend, b.settled)
 	}
--- a/internal/flowproc/agent.go
+++ b/internal/flowproc/agent.go
@@ -179,6 +179,8 @@
 	switch d.Outcome {
 	case flowagent.Opened:
 		a.log.flow(now, d.Key, d.Outcome.String(), false, fields{"open": a.agent.Load().Flows, "active": a.agent.Load().Active, "version": a.follower.Table().Version()})
+	case flowagent.Deferred:
+		a.log.flow(now, d.Key, d.Outcome.String(), true, fields{"reason": d.Reason, "active": a.agent.Load().Active, "open": a.agent.Load().Flows})
 	case flowagent.Refused, flowagent.Ended, flowagent.Lost, flowagent.Probed:
 		a.log.flow(now, d.Key, d.Outcome.String(), true, fields{"reason": d.Reason, "backend": a.agent.Backend().State, "born": a.agent.Backend().Born})
 	case flowagent.Passed:
--- a/internal/flowproc/check.go
+++ b/internal/flowproc/check.go
@@ -87,7 +87,7 @@
 	defer a.mu.Unlock()
 	b := a.agent.Backend()
 	switch {
-	case errors.Is(err, syscall.ECONNREFUSED) && b.Born != 0:
+	case errors.Is(err, syscall.ECONNREFUSED):
 		a.setBackend(now, a.reports.Gone(), "")
 		return true
 	case err == nil && ready && b.State == fleet.BackendUnknown:
--- a/internal/flowtable/flowtable.go
+++ b/internal/flowtable/flowtable.go
@@ -40,8 +40,10 @@
 	// Balancer took the flow's opening packet.
 	Balancer flow.Endpoint
 	Phase    Phase
-	// Waiting is set while the caller's last data is unanswered.
+	// Waiting is set while a request of the caller is expected or unanswered.
 	Waiting bool
+	// promised is set while the first request is expected.
+	promised bool
 	// knowsNext is set once the backend server has sent something.
 	knowsNext             bool
 	callerFin, backendFin bool
@@ -51,8 +53,6 @@
 	CallerAck uint32
 	// HomesHash identifies the homes that were told of the flow.
 	HomesHash uint32
-	// Cookie identifies the flow's opening packet while it is at the backend server.
-	Cookie  uint32
 	created time.Time
 	seen    time.Time
 }
@@ -61,10 +61,21 @@
 type Table struct {
 	flows *simplelru.LRU[flow.Key, *Entry]
 	open  int
-	// active counts flows with an unanswered request.
+	// active counts flows with an expected or unanswered request.
 	active int
+	// promises lists flows whose first request is expected, the oldest first.
+	promises []promise
 }
 
+// promise is a flow whose first request is expected.
+type promise struct {
+	entry *Entry
+	since time.Time
+}
+
+// promiseTime is how long the first request of a flow is expected.
+const promiseTime = 300 * time.Millisecond
+
 // New returns an empty table for at most size flows.
 func New(size int) *Table {
 	t := &Table{}
@@ -93,8 +104,17 @@
 }
 
 // Begin notes that an opening packet goes to the backend server, in place of an
-// ended flow of the same key.
+// ended flow of the same key. Callers open flows to send a request, so one is
+// expected for a while.
 func (t *Table) Begin(now time.Time, key flow.Key, balancer flow.Endpoint) *Entry {
+	e := t.add(now, key, balancer)
+	e.promised = true
+	t.setWaiting(e, true)
+	t.promises = append(t.promises, promise{e, now})
+	return e
+}
+
+func (t *Table) add(now time.Time, key flow.Key, balancer flow.Endpoint) *Entry {
 	t.flows.Remove(key)
 	e := &Entry{Balancer: balancer, created: now, seen: now}
 	t.flows.Add(key, e)
@@ -146,6 +166,7 @@
 		e.Phase = Open
 	}
 	if p.Length > 0 {
+		e.promised = false
 		t.setWaiting(e, true)
 	}
 	if p.Flags.Has(flow.FIN) {
@@ -162,7 +183,7 @@
 		if p.Flags.Has(flow.RST) {
 			return nil, false // a refusal of a flow that nobody holds
 		}
-		e = t.Begin(now, key, flow.Endpoint{})
+		e = t.add(now, key, flow.Endpoint{})
 	}
 	e.seen = now
 	t.advance(e, p)
@@ -225,11 +246,20 @@
 		return
 	}
 	t.setWaiting(e, false)
+	e.promised = false
 	t.open--
 }
 
-// Expire forgets flows that were silent for longer than idle, and ended ones after a while.
+// Expire forgets flows that were silent for longer than idle, and ended ones after a
+// while, and gives up on requests that did not come.
 func (t *Table) Expire(now time.Time, idle time.Duration) {
+	for len(t.promises) > 0 && now.Sub(t.promises[0].since) >= promiseTime {
+		if e := t.promises[0].entry; e.promised && e.Phase != Ended {
+			t.setWaiting(e, false)
+		}
+		t.promises[0].entry.promised = false
+		t.promises = t.promises[1:]
+	}
 	for {
 		key, e, ok := t.flows.GetOldest()
 		if !ok {
--- /dev/null
+++ b/internal/flowtable/flowtable_test.go
@@ -0,0 +1,127 @@
+package flowtable_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/almondledge/almondledge/internal/flow"
+	"github.com/almondledge/almondledge/internal/flowtable"
+)
+
+var start = time.Unix(2_000_000_000, 0)
+
+func keyOf(port uint16) flow.Key {
+	return flow.Key{Caller: flow.Endpoint{Port: port}, Front: flow.Endpoint{Port: 443}}
+}
+
+func TestRequestsInProgress(t *testing.T) {
+	is := is.New(t)
+	table := flowtable.New(10)
+	e := table.Begin(start, keyOf(1), flow.Endpoint{})
+	is.Equal(table.Active(), 1) // the request is expected
+	table.FromBackend(start, keyOf(1), &flow.Packet{Flags: flow.SYN | flow.ACK, Seq: 100})
+	table.FromCaller(start, keyOf(1), e, &flow.Packet{Flags: flow.ACK, Ack: 101, Length: 10})
+	is.Equal(table.Active(), 1)
+	table.FromBackend(start, keyOf(1), &flow.Packet{Flags: flow.ACK, Seq: 101, Length: 50})
+	is.Equal(table.Active(), 0)
+	is.Equal(table.Open(), 1)
+}
+
+// A flow whose request never comes must not count as busy for long (found by
+// mbps-ledge scale-1: agents took themselves for crowded for good).
+func TestExpectedRequestThatDoesNotCome(t *testing.T) {
+	is := is.New(t)
+	table := flowtable.New(10)
+	table.Begin(start, keyOf(1), flow.Endpoint{})
+	table.Expire(start.Add(time.Second), time.Minute)
+	is.Equal(table.Active(), 0)
+	is.Equal(table.Open(), 1)
+}
+
+// A flow that was open before this process started has no expected request.
+func TestUnknownFlowOfTheBackendIsNotBusy(t *testing.T) {
+	is := is.New(t)
+	table := flowtable.New(10)
+	_, unknown := table.FromBackend(start, keyOf(1), &flow.Packet{Flags: flow.ACK, Seq: 5})
+	is.True(unknown)
+	is.Equal(table.Active(), 0)
+	is.Equal(table.Open(), 1)
+}
+
+func TestMatchesByAcknowledgedNumber(t *testing.T) {
+	is := is.New(t)
+	table := flowtable.New(10)
+	e := table.Begin(start, keyOf(1), flow.Endpoint{})
+	is.True(!e.Matches(&flow.Packet{Flags: flow.ACK, Ack: 101})) // nothing was sent yet
+	table.FromBackend(start, keyOf(1), &flow.Packet{Flags: flow.SYN | flow.ACK, Seq: 0xffff_fff0})
+	is.True(e.Matches(&flow.Packet{Flags: flow.ACK, Ack: 0xffff_fff1}))
+	is.True(e.Matches(&flow.Packet{Flags: flow.ACK, Ack: 20})) // numbers wrap
+	is.True(!e.Matches(&flow.Packet{Flags: flow.ACK, Ack: 0x8000_0000}))
+}
+
+func TestEndedFlowsStayForLatePackets(t *testing.T) {
+	is := is.New(t)
+	table := flowtable.New(10)
+	e := table.Begin(start, keyOf(1), flow.Endpoint{})
+	table.FromBackend(start, keyOf(1), &flow.Packet{Flags: flow.SYN | flow.ACK})
+	table.FromCaller(start, keyOf(1), e, &flow.Packet{Flags: flow.FIN | flow.ACK, Ack: 1})
+	table.FromBackend(start, keyOf(1), &flow.Packet{Flags: flow.FIN | flow.ACK, Seq: 1})
+	is.Equal(table.Open(), 0)
+	is.True(table.Get(keyOf(1)) != nil)
+	table.Expire(start.Add(10*time.Second), time.Minute)
+	is.True(table.Get(keyOf(1)) == nil)
+}
+
+func TestTableIsBounded(t *testing.T) {
+	is := is.New(t)
+	table := flowtable.New(3)
+	for port := range uint16(10) {
+		table.Begin(start, keyOf(port), flow.Endpoint{})
+	}
+	is.Equal(table.Len(), 3)
+	is.Equal(table.Open(), 3)
+	is.Equal(table.Active(), 3)
+}
+
+// Whatever packets come in whatever order, the counts are those of the flows.
+func TestCountsMatchTheFlows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := flowtable.New(5)
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			key := keyOf(rapid.Uint16Range(0, 8).Draw(t, "port"))
+			p := &flow.Packet{
+				Flags:  flow.Flags(rapid.Uint8Range(0, 15).Draw(t, "flags")),
+				Length: rapid.IntRange(0, 1).Draw(t, "length"),
+			}
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0:
+				table.Begin(now, key, flow.Endpoint{})
+			case 1:
+				if e := table.Get(key); e != nil && e.Matches(p) {
+					table.FromCaller(now, key, e, p)
+				}
+			case 2:
+				table.FromBackend(now, key, p)
+			case 3:
+				table.Remove(key)
+			case 4:
+				table.Expire(now, 20*time.Second)
+			}
+			open, active := 0, 0
+			table.Visit(func(_ flow.Key, e *flowtable.Entry) {
+				open++
+				if e.Waiting {
+					active++
+				}
+			})
+			if table.Open() != open || table.Active() != active {
+				t.Fatalf("counts %d and %d, flows %d and %d", table.Open(), table.Active(), open, active)
+			}
+		}
+	})
+}
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -14,6 +14,7 @@
 
 	"github.com/almondledge/almondledge/internal/fleet"
 	"github.com/almondledge/almondledge/internal/flow"
+	"github.com/almondledge/almondledge/internal/route"
 )
 
 // Weights of the cost of a backend server, in flows a slot.
@@ -29,6 +30,14 @@
 	remoteFactor = 1.15
 )
 
+// Requests in progress for each slot.
+const (
+	// overloaded is from where on a service's flows go to another service of the route,
+	// and spare how busy that one may be.
+	overloaded = 2.0
+	spare      = 1.0
+)
+
 // Times of what is remembered of agents.
 const (
 	// doubtTime is how long an agent that left an opening packet unanswered gets no
@@ -113,7 +122,9 @@
 		if m.Liveness == fleet.Dead {
 			continue
 		}
-		b.agents = append(b.agents, m.Addr)
+		if m.Backend.State != fleet.BackendGone {
+			b.agents = append(b.agents, m.Addr)
+		}
 		b.services[m.Backend.Service] = append(b.services[m.Backend.Service], m)
 		for i := range pointsPerAgent {
 			b.ring = append(b.ring, point{hash: pointHash(m.Addr, i), agent: m.Addr})
@@ -143,7 +154,8 @@
 	return !b.doubt && now.Sub(b.started) >= startTime && now.Sub(b.lastNew) >= settleTime
 }
 
-// AllAgents returns the agents that are not dead. The slice must not be changed.
+// AllAgents returns the agents whose backend servers may have flows. The slice must
+// not be changed.
 func (b *Board) AllAgents() []netip.AddrPort { return b.agents }
 
 // Member returns what is known of the process at a.
@@ -212,6 +224,44 @@
 // Choose returns the agent for a new flow to a service, or false if no agent
 // outside of skip is willing. Agents in doubt are chosen only if there is no other.
 func (b *Board) Choose(now time.Time, service string, skip func(netip.AddrPort) bool) (netip.AddrPort, bool) {
+	best, found := b.best(now, service, skip)
+	if found {
+		b.load(best).placed++
+	}
+	return best, found
+}
+
+// ChooseAmong returns the agent for a new flow to a route that has picked service.
+// When that service is overloaded, another service of the route helps out.
+func (b *Board) ChooseAmong(now time.Time, r *route.Route, service string, skip func(netip.AddrPort) bool) (agent netip.AddrPort, chosen string, found bool) {
+	agent, found = b.best(now, service, skip)
+	chosen = service
+	if !found || b.Busy(agent) >= overloaded {
+		for _, share := range r.Shares {
+			if share.Weight == 0 || share.Service == service {
+				continue
+			}
+			other, ok := b.best(now, share.Service, skip)
+			if ok && (!found || b.Busy(other) <= spare) {
+				agent, chosen, found = other, share.Service, true
+				break
+			}
+		}
+	}
+	if found {
+		b.load(agent).placed++
+	}
+	return agent, chosen, found
+}
+
+// Busy returns the requests in progress at a backend server for each of its slots,
+// counting flows that were placed here since its agent's last word.
+func (b *Board) Busy(agent netip.AddrPort) float64 {
+	l := b.load(agent)
+	return (l.active + l.placed) / max(1, float64(b.members[agent].Backend.Slots))
+}
+
+func (b *Board) best(now time.Time, service string, skip func(netip.AddrPort) bool) (netip.AddrPort, bool) {
 	best, found := netip.AddrPort{}, false
 	bestCost, bestDoubted := 0.0, false
 	for i := range b.services[service] {
@@ -229,9 +279,6 @@
 			best, bestCost, bestDoubted, found = m.Addr, cost, doubted, true
 		}
 	}
-	if found {
-		b.load(best).placed++
-	}
 	return best, found
 }
 
