Placement: another data centre must be less busy by eight flows a slot

Cause: bytes between data centres are the second price on esob; replies to callers in other data centres were most of them (trial with counters by caller's address). Change: remoteCost 2 to 8 flows a slot. Tried too: 4 and 16. Eight keeps more room for balance than 16.

--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -25,7 +25,7 @@
 	// warmingFactor is how much slower a backend server is after its start.
 	warmingFactor = 1.6
 	// remoteCost is what a backend server in another data centre must be less busy by.
-	remoteCost = 2.0
+	remoteCost = 8.0
 	// remoteFactor scales the load of a backend server in another data centre.
 	remoteFactor = 1.15
 )
