--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -271,6 +271,16 @@
 	return n.take()
 }
 
+// Tell sends the version and the age of the desired state in force here to members.
+func (n *Node) Tell(to []netip.AddrPort) ([]Send, []Event) {
+	for _, a := range to {
+		if a != n.self.Addr {
+			n.sendTo(n.message(typeNews), a)
+		}
+	}
+	return n.take()
+}
+
 func (n *Node) message(t messageType) *message {
 	version, age := n.cfg.Version()
 	return &message{
--- a/internal/flowproc/core.go
+++ b/internal/flowproc/core.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -68,6 +69,8 @@
 	// that state was last read in full.
 	revision int64
 	lastRead time.Time
+	// readers are the balancers that read the store before all others.
+	readers []netip.AddrPort
 	// fetching is until when no second process is asked for a state.
 	fetching  time.Time
 	storeDown bool
@@ -219,23 +222,35 @@
 		c.generation = generation
 		members := c.node.Members()
 		c.board.SetMembers(now, members)
-		if c.node.Self().Role == fleet.Balancer {
-			c.follower.SetRank(rankAmongBalancers(members, c.cfg.Peer))
-		}
+		c.readers = firstBalancers(members)
+		c.follower.SetRank(c.rank(), len(members))
 		c.role.membersChanged(now)
 	}
 }
 
-// rankAmongBalancers returns how many balancers that are alive stand before the one
-// at self in the order of their addresses.
-func rankAmongBalancers(members []fleet.Member, self netip.AddrPort) int {
-	rank := 0
+// readerCount is the number of balancers that hear at once of each read of the store.
+const readerCount = 4
+
+// firstBalancers returns the first balancers that are alive, in the order of their addresses.
+func firstBalancers(members []fleet.Member) []netip.AddrPort {
+	var first []netip.AddrPort
 	for _, m := range members {
-		if m.Role == fleet.Balancer && m.Liveness == fleet.Alive && m.Addr.Compare(self) < 0 {
-			rank++
+		if m.Role == fleet.Balancer && m.Liveness == fleet.Alive && len(first) < readerCount {
+			first = append(first, m.Addr)
 		}
 	}
-	return rank
+	return first
+}
+
+// rank returns the place of this process in the order of reading the store.
+func (c *core) rank() int {
+	if c.node.Self().Role == fleet.Agent {
+		return statesync.AgentRank
+	}
+	if i := slices.Index(c.readers, c.cfg.Peer); i >= 0 {
+		return i
+	}
+	return len(c.readers)
 }
 
 func (c *core) readPeers(ctx context.Context) error {
@@ -301,11 +316,16 @@
 	}
 	if state.Version == 0 {
 		c.follower.Unchanged(begun)
-		return
+	} else {
+		c.revision, c.lastRead = max(c.revision, revision), begun
+		if c.follower.Read(begun, state) {
+			c.stateInForce("store", time.Since(begun))
+		}
 	}
-	c.revision, c.lastRead = max(c.revision, revision), begun
-	if c.follower.Read(begun, state) {
-		c.stateInForce("store", time.Since(begun))
+	// The other readers need not read now.
+	sends, _ := c.node.Tell(c.readers)
+	for _, s := range sends {
+		c.sendMembership(s)
 	}
 }
 
@@ -339,7 +359,7 @@
 func (c *core) fetchState(ctx context.Context, from netip.AddrPort) {
 	begun := time.Now()
 	have := c.table().Version()
-	state, err := statesync.Fetch(ctx, from, have)
+	state, err := statesync.Fetch(ctx, c.opt.Network.DialTCP, from, have)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.fetching = time.Time{}
--- /dev/null
+++ b/internal/flowproc/deployment_test.go
@@ -0,0 +1,321 @@
+package flowproc_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/fleet"
+	"github.com/almondledge/almondledge/internal/flow"
+	"github.com/almondledge/almondledge/internal/flowagent"
+	"github.com/almondledge/almondledge/internal/flowproc"
+	"github.com/almondledge/almondledge/internal/logging"
+	"github.com/almondledge/almondledge/internal/memnet"
+	"github.com/almondledge/almondledge/internal/route"
+	"github.com/almondledge/almondledge/internal/standin/flows"
+)
+
+// Ports of the deployments in tests, the same on all instances.
+const (
+	peerPort    = 7000
+	callerPort  = 7001
+	backendPort = 7002
+	outPort     = 7003
+)
+
+// service and front of all flows.
+const service = "alpha"
+
+var front = flow.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443}
+
+// stateStore stands in for the store of the desired state.
+type stateStore struct {
+	mu       sync.Mutex
+	state    route.State
+	revision int64
+	down     bool
+}
+
+func (s *stateStore) set(state route.State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state = state
+	s.revision++
+}
+
+func (s *stateStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *stateStore) ReadState(context.Context) (route.State, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return route.State{}, 0, errkind.New(errkind.Unavailable, "store is down", "wait")
+	}
+	return s.state, s.revision, nil
+}
+
+func (s *stateStore) ReadChange(ctx context.Context, revision int64) (route.State, int64, error) {
+	state, newest, err := s.ReadState(ctx)
+	if newest == revision {
+		state = route.State{}
+	}
+	return state, newest, err
+}
+
+// deployment is whole processes on a network in memory, inside a synctest bubble.
+type deployment struct {
+	t         *testing.T
+	ctx       context.Context
+	net       *memnet.Net
+	store     *stateStore
+	balancers []*process
+	agents    []*agentProcess
+	callers   map[flow.Key]*flows.Caller
+	logs      *lockedBuffer
+	mu        sync.Mutex
+}
+
+// process is a running balancer or agent.
+type process struct {
+	addr  netip.Addr
+	kill  context.CancelFunc
+	drain context.CancelFunc
+	done  chan struct{}
+}
+
+// agentProcess is an agent with its backend server.
+type agentProcess struct {
+	process
+	agent    *flowproc.Agent
+	backend  *flows.Backend
+	born     int64
+	sequence int64
+}
+
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// String returns what was written so far.
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// deploy starts balancers and agents and lets a minute pass.
+func deploy(t *testing.T, balancers, agents int) *deployment {
+	d := &deployment{
+		t: t, net: memnet.New(1), store: &stateStore{}, callers: map[flow.Key]*flows.Caller{}, logs: &lockedBuffer{},
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	d.ctx = ctx
+	d.net.SetLinks(func(_, _ netip.Addr) memnet.Link { return memnet.Link{Delay: 2 * time.Millisecond} })
+	d.store.set(stateFor(1))
+	for i := range balancers {
+		d.balancers = append(d.balancers, d.startBalancer(i))
+	}
+	for i := range agents {
+		a := &agentProcess{backend: flows.NewBackend(fmt.Sprint("backend", i), uint32(i+1)), born: time.Now().UnixMilli()}
+		d.agents = append(d.agents, a)
+		d.serveBackend(a, i)
+	}
+	time.Sleep(time.Second)
+	for i := range agents {
+		d.startAgent(i)
+	}
+	d.net.Handle(ctx, callersAddr(), d.toCaller)
+	time.Sleep(time.Minute)
+	t.Cleanup(func() {
+		stop()
+		for _, b := range d.balancers {
+			<-b.done
+		}
+		for _, a := range d.agents {
+			<-a.done
+		}
+	})
+	return d
+}
+
+// stateFor returns a desired state in which front belongs to service.
+func stateFor(version uint64) route.State {
+	return route.State{
+		Version:     version,
+		IdleTimeout: 15 * time.Second,
+		Routes:      []route.Route{{Front: front, Shares: []route.Share{{Service: service, Weight: 1}}}},
+	}
+}
+
+func callersAddr() netip.AddrPort { return netip.MustParseAddrPort("100.64.0.1:7001") }
+
+func balancerAddr(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}) }
+func agentAddr(i int) netip.Addr    { return netip.AddrFrom4([4]byte{10, 0, 1, byte(i + 1)}) }
+
+func (d *deployment) common(addr netip.Addr) flowproc.Common {
+	return flowproc.Common{
+		Name: addr.String(), DataCentre: "dc1", Peer: netip.AddrPortFrom(addr, peerPort), CallerPort: callerPort,
+		Seeds:        []netip.AddrPort{netip.AddrPortFrom(balancerAddr(0), peerPort), netip.AddrPortFrom(balancerAddr(1), peerPort)},
+		FlowLifetime: time.Minute,
+	}
+}
+
+func (d *deployment) options(addr netip.Addr, role string) flowproc.Options {
+	logger, err := logging.New(d.logs, "info", logging.Source{Role: role, Instance: addr.String(), DataCentre: "dc1"})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	seed := uint64(addr.As4()[3])
+	return flowproc.Options{
+		Network: d.net.Host(addr), Codec: flows.Codec{}, States: d.store, Log: logger, Rand: rand.New(rand.NewPCG(seed, seed)),
+	}
+}
+
+func (d *deployment) start(addr netip.Addr, run func(ctx, drain context.Context) error) process {
+	ctx, kill := context.WithCancel(d.ctx)
+	drain, beginDrain := context.WithCancel(ctx)
+	p := process{addr: addr, kill: kill, drain: beginDrain, done: make(chan struct{})}
+	go func() {
+		defer close(p.done)
+		if err := run(ctx, drain); err != nil {
+			d.t.Error(err)
+		}
+	}()
+	return p
+}
+
+func (d *deployment) startBalancer(i int) *process {
+	addr := balancerAddr(i)
+	b, err := flowproc.NewBalancer(flowproc.BalancerConfig{
+		Common: d.common(addr), Callers: netip.AddrPortFrom(addr, callerPort),
+	}, d.options(addr, "balancer"))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	p := d.start(addr, b.Run)
+	return &p
+}
+
+func (d *deployment) startAgent(i int) {
+	a, addr := d.agents[i], agentAddr(i)
+	agent, err := flowproc.NewAgent(flowproc.AgentConfig{
+		Common: d.common(addr), Service: service,
+		Backend: netip.AddrPortFrom(addr, backendPort), FromBackend: netip.AddrPortFrom(addr, outPort),
+	}, d.options(addr, "agent"))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	a.agent = agent
+	a.process = d.start(addr, agent.Run)
+	d.report(i, fleet.BackendReady)
+}
+
+// serveBackend lets a backend server answer at its address.
+func (d *deployment) serveBackend(a *agentProcess, i int) {
+	at := netip.AddrPortFrom(agentAddr(i), backendPort)
+	d.net.Handle(d.ctx, at, func(_ netip.AddrPort, datagram []byte) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		for _, raw := range a.backend.Handle(datagram) {
+			d.net.Inject(at, netip.AddrPortFrom(at.Addr(), outPort), raw)
+		}
+	})
+}
+
+// report sends a report of a backend server to its agent.
+func (d *deployment) report(i int, state fleet.BackendState) {
+	a := d.agents[i]
+	a.sequence++
+	err := a.agent.Report(flowagent.Report{
+		ID: a.backend.Name, Service: service, State: state, Born: a.born, Slots: 5, Sequence: a.sequence,
+	})
+	if err != nil {
+		d.t.Error(err)
+	}
+}
+
+// killAll ends all processes at once, as SIGKILL does, and starts them again.
+func (d *deployment) killAll(down time.Duration) {
+	for _, b := range d.balancers {
+		b.kill()
+		<-b.done
+	}
+	for _, a := range d.agents {
+		a.kill()
+		<-a.done
+	}
+	time.Sleep(down)
+	for i := range d.balancers {
+		d.balancers[i] = d.startBalancer(i)
+	}
+	for i := range d.agents {
+		d.startAgent(i)
+	}
+}
+
+// send hands a caller's packet to one balancer.
+func (d *deployment) send(balancer int, raw []byte) {
+	d.net.Inject(callersAddr(), netip.AddrPortFrom(balancerAddr(balancer), callerPort), raw)
+}
+
+func (d *deployment) toCaller(_ netip.AddrPort, raw []byte) {
+	p, err := flows.Codec{}.Parse(raw)
+	if err != nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c := d.callers[p.BackendKey()]; c != nil {
+		if answer := c.Handle(raw); answer != nil {
+			d.send(int(c.Key.Caller.Port)%len(d.balancers), answer)
+		}
+	}
+}
+
+// call opens a flow through one balancer and sends a request, and returns the
+// caller after both had a tenth of a second.
+func (d *deployment) call(balancer int, port uint16) *flows.Caller {
+	c := flows.NewCaller(flow.Key{Caller: flow.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: port}, Front: front})
+	d.mu.Lock()
+	d.callers[c.Key] = c
+	d.mu.Unlock()
+	d.send(balancer, c.Opening())
+	time.Sleep(100 * time.Millisecond)
+	if d.read(c).Open {
+		d.ask(balancer, c)
+	}
+	return c
+}
+
+// ask sends a request of an open flow through one balancer.
+func (d *deployment) ask(balancer int, c *flows.Caller) {
+	d.mu.Lock()
+	raw := c.Request("hello")
+	d.mu.Unlock()
+	d.send(balancer, raw)
+	time.Sleep(100 * time.Millisecond)
+}
+
+// read returns a copy of a caller's present state.
+func (d *deployment) read(c *flows.Caller) flows.Caller {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return *c
+}
--- /dev/null
+++ b/internal/flowproc/flowproc_test.go
@@ -0,0 +1,213 @@
+package flowproc_test
+
+import (
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/almondledge/almondledge/internal/fleet"
+	"github.com/almondledge/almondledge/internal/flowproc"
+	"github.com/almondledge/almondledge/internal/memnet"
+	"github.com/almondledge/almondledge/internal/route"
+	"github.com/almondledge/almondledge/internal/standin/flows"
+)
+
+func TestFlowsMoveBetweenBalancers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := deploy(t, 3, 4)
+		for port := uint16(1000); port < 1020; port++ {
+			c := d.call(0, port)
+			d.ask(1, c)
+			d.ask(2, c)
+			got := d.read(c)
+			is.Equal(len(got.Answers), 3)
+			is.Equal(got.Answers[0], got.Answers[1])
+			is.Equal(got.Answers[0], got.Answers[2])
+		}
+	})
+}
+
+func TestFlowsOutliveAllProcesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := deploy(t, 2, 3)
+		var open []*flows.Caller
+		for port := uint16(1000); port < 1010; port++ {
+			open = append(open, d.call(0, port))
+		}
+		d.killAll(time.Second)
+		time.Sleep(300 * time.Millisecond)
+		for _, c := range open {
+			d.ask(1, c)
+			got := d.read(c)
+			is.Equal(len(got.Answers), 2)
+			is.True(!got.Reset)
+		}
+		c := d.call(0, 2000)
+		is.Equal(len(d.read(c).Answers), 1) // new flows, too, less than a second after the start
+	})
+}
+
+func TestFlowsOfLostBackendsAreResetSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := deploy(t, 2, 3)
+		c := d.call(0, 1000)
+		d.mu.Lock()
+		for _, a := range d.agents {
+			*a.backend = *flows.NewBackend(a.backend.Name, 77)
+			a.born, a.sequence = time.Now().Add(time.Second).UnixMilli(), 0
+		}
+		d.mu.Unlock()
+		d.killAll(time.Second)
+		time.Sleep(300 * time.Millisecond)
+		d.ask(0, c)
+		time.Sleep(time.Second)
+		is.True(d.read(c).Reset)
+	})
+}
+
+func TestServiceGoesOnWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := deploy(t, 2, 2)
+		d.store.setDown(true)
+		time.Sleep(time.Minute)
+		is.Equal(len(d.read(d.call(0, 1000)).Answers), 1)
+		is.Equal(strings.Count(d.logs.String(), "lost the platform's store"), 4) // one line a process
+		d.store.set(stateFor(5))
+		d.store.setDown(false)
+		time.Sleep(3 * time.Second)
+		is.Equal(strings.Count(d.logs.String(), "version=5"), 4)
+	})
+}
+
+func TestANewStateIsInForceEverywhereInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := deploy(t, 3, 3)
+		for version := uint64(2); version < 12; version++ {
+			d.store.set(stateFor(version))
+			time.Sleep(3 * time.Second)
+		}
+		dropped := route.State{Version: 50, IdleTimeout: time.Minute}
+		d.store.set(dropped)
+		time.Sleep(3 * time.Second)
+		for i := range 3 {
+			c := d.call(i, uint16(1000+i))
+			is.True(d.read(c).Reset) // refused at once: the route is gone
+		}
+	})
+}
+
+func TestAProcessThatReachesOnlyItsPeersGetsTheState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := deploy(t, 3, 2)
+		// The first reader of the store is cut off from all others.
+		alone := balancerAddr(0)
+		d.net.SetLinks(func(from, to netip.Addr) memnet.Link {
+			return memnet.Link{Delay: 2 * time.Millisecond, Cut: (from == alone) != (to == alone)}
+		})
+		time.Sleep(5 * time.Second)
+		d.store.set(stateFor(9))
+		time.Sleep(3 * time.Second)
+		is.Equal(strings.Count(d.logs.String(), "version=9"), 5)
+	})
+}
+
+func TestDrainingBackendGetsNoNewFlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := deploy(t, 2, 3)
+		d.report(1, fleet.BackendDraining)
+		for port := uint16(1000); port < 1030; port++ {
+			c := d.call(int(port)%2, port)
+			is.Equal(len(d.read(c).Answers), 1)
+		}
+		is.Equal(d.agents[1].backend.Runs, 0)
+	})
+}
+
+func TestPlannedStopOfABalancerLosesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := deploy(t, 2, 3)
+		c := d.call(0, 1000)
+		d.balancers[0].drain()
+		time.Sleep(flowproc.BalancerDrainTime / 2)
+		d.ask(0, c) // the fabric still sends here
+		is.Equal(len(d.read(c).Answers), 2)
+		time.Sleep(flowproc.BalancerDrainTime)
+		<-d.balancers[0].done
+		d.ask(1, c)
+		is.Equal(len(d.read(c).Answers), 3)
+	})
+}
+
+func TestPlannedStopOfAnAgentKeepsItsFlows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := deploy(t, 2, 3)
+		var open []*flows.Caller
+		for port := uint16(1000); port < 1010; port++ {
+			open = append(open, d.call(0, port))
+		}
+		for i, a := range d.agents {
+			a.drain()
+			<-a.done
+			d.startAgent(i)
+			time.Sleep(2 * time.Second)
+		}
+		for _, c := range open {
+			d.ask(1, c)
+			got := d.read(c)
+			is.Equal(len(got.Answers), 2)
+			is.True(!got.Reset)
+		}
+	})
+}
+
+func TestLossAndDelayBreakNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := deploy(t, 3, 4)
+		d.net.SetLinks(func(_, _ netip.Addr) memnet.Link { return memnet.Link{Delay: 9 * time.Millisecond, Loss: 0.03} })
+		served := 0
+		for port := uint16(1000); port < 1100; port++ {
+			c := d.call(int(port)%3, port)
+			for range 6 { // as often as callers retransmit within their time
+				if len(d.read(c).Answers) == 0 {
+					time.Sleep(200 * time.Millisecond)
+					if got := d.read(c); got.Open {
+						d.ask(int(port)%3, c)
+					} else {
+						d.mu.Lock()
+						raw := c.Opening()
+						d.mu.Unlock()
+						d.send(int(port)%3, raw)
+					}
+				}
+			}
+			got := d.read(c)
+			is.True(!got.Reset)
+			if len(got.Answers) > 0 {
+				served++
+			}
+		}
+		is.True(served >= 98)
+	})
+}
+
+func TestSettingsAreChecked(t *testing.T) {
+	is := is.New(t)
+	_, err := flowproc.NewBalancer(flowproc.BalancerConfig{}, flowproc.Options{})
+	is.True(err != nil)
+	_, err = flowproc.NewAgent(flowproc.AgentConfig{}, flowproc.Options{})
+	is.True(err != nil)
+}
--- a/internal/flowtable/flowtable.go
+++ b/internal/flowtable/flowtable.go
@@ -53,8 +53,8 @@
 	CallerAck uint32
 	// HomesHash identifies the homes that were told of the flow.
 	HomesHash uint32
-	created time.Time
-	seen    time.Time
+	created   time.Time
+	seen      time.Time
 }
 
 // Table holds the flows of one backend server. It is not safe for concurrent use.
--- /dev/null
+++ b/internal/hop/hop_test.go
@@ -0,0 +1,79 @@
+package hop_test
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/almondledge/almondledge/internal/flow"
+	"github.com/almondledge/almondledge/internal/hop"
+)
+
+func endpoints(t *rapid.T, name string) flow.Endpoint {
+	ip := rapid.Uint32().Draw(t, name)
+	return flow.Endpoint{
+		IP:   [4]byte{byte(ip >> 24), byte(ip >> 16), byte(ip >> 8), byte(ip)},
+		Port: rapid.Uint16().Draw(t, name),
+	}
+}
+
+func keys(t *rapid.T) flow.Key {
+	return flow.Key{Caller: endpoints(t, "caller"), Front: endpoints(t, "front")}
+}
+
+func TestMessagesComeBackAsTheyWere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		f := hop.Forward{
+			Balancer: endpoints(t, "balancer"), Expected: rapid.Bool().Draw(t, "expected"), Search: rapid.Bool().Draw(t, "search"),
+			Born: rapid.Int64().Draw(t, "born"), Version: rapid.Uint64().Draw(t, "version"), Service: rapid.Uint32().Draw(t, "service"),
+			Packet: rapid.SliceOfN(rapid.Byte(), 1, 50).Draw(t, "packet"),
+		}
+		for range rapid.IntRange(0, hop.MaxVisited).Draw(t, "visited") {
+			f.Visited = append(f.Visited, endpoints(t, "visited"))
+		}
+		got, err := hop.DecodeForward(f.AppendTo(nil))
+		is.NoErr(err)
+		is.Equal(got, f)
+
+		n := hop.Notice{Key: keys(t), Born: rapid.Int64().Draw(t, "born"), Flows: 3, Active: 4, Refused: rapid.Bool().Draw(t, "refused")}
+		gotNotice, err := hop.DecodeNotice(n.AppendTo(nil))
+		is.NoErr(err)
+		is.Equal(gotNotice, n)
+
+		c := hop.Claim{Owner: endpoints(t, "owner"), Born: 5, Keys: []flow.Key{keys(t), keys(t)}}
+		gotClaim, err := hop.DecodeClaim(c.AppendTo(nil))
+		is.NoErr(err)
+		is.Equal(gotClaim, c)
+
+		q := hop.Query{Key: keys(t), Ack: rapid.Uint32().Draw(t, "ack"), Home: endpoints(t, "home")}
+		gotQuery, err := hop.DecodeQuery(q.AppendTo(nil))
+		is.NoErr(err)
+		is.Equal(gotQuery, q)
+
+		a := hop.Answer{Key: keys(t), Finding: hop.Unsure, Born: 9}
+		gotAnswer, err := hop.DecodeAnswer(a.AppendTo(nil))
+		is.NoErr(err)
+		is.Equal(gotAnswer, a)
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	forward := hop.Forward{Visited: []flow.Endpoint{{Port: 1}}, Packet: []byte{1}}
+	f.Add(forward.AppendTo(nil))
+	claim := hop.Claim{Keys: []flow.Key{{}}}
+	f.Add(claim.AppendTo(nil))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if got, err := hop.DecodeForward(b); err == nil && len(got.Visited) > hop.MaxVisited {
+			t.Fatal("too many agents")
+		}
+		if got, err := hop.DecodeClaim(b); err == nil && !bytes.Equal(got.AppendTo(nil), b) {
+			t.Fatal("a claim does not come back as it was")
+		}
+		_, _ = hop.DecodeNotice(b)
+		_, _ = hop.DecodeQuery(b)
+		_, _ = hop.DecodeAnswer(b)
+	})
+}
--- a/internal/standin/flows/backend.go
+++ b/internal/standin/flows/backend.go
@@ -18,7 +18,12 @@
 	flows map[flow.Key]*backendFlow
 }
 
-type backendFlow struct{ next uint32 }
+type backendFlow struct {
+	next uint32
+	// request is the number of the last request, answer what was sent for it.
+	request uint32
+	answer  []byte
+}
 
 // isnStep sets the first numbers of flows far apart, as random ones are.
 const isnStep = 1 << 24
@@ -57,11 +62,14 @@
 		return [][]byte{b.build(key, flow.FIN|flow.ACK, f.next, p.Seq+1, nil)}
 	case p.Length == 0:
 		return nil
+	case f.answer != nil && p.Seq == f.request && p.Ack != f.next:
+		return [][]byte{f.answer} // the answer was lost on its way
 	}
 	b.Runs++
-	answer := b.build(key, flow.ACK, f.next, p.Seq+uint32(p.Length), []byte(b.Name))
+	f.request = p.Seq
+	f.answer = b.build(key, flow.ACK, f.next, p.Seq+uint32(p.Length), []byte(b.Name))
 	f.next += uint32(len(b.Name))
-	return [][]byte{answer}
+	return [][]byte{f.answer}
 }
 
 func (b *Backend) build(key flow.Key, flags flow.Flags, seq, ack uint32, data []byte) []byte {
--- a/internal/statesync/exchange.go
+++ b/internal/statesync/exchange.go
@@ -26,14 +26,16 @@
 	State route.State `msgpack:"state"`
 }
 
+// Dial connects to a TCP address written as IP:port.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
 // Fetch asks the process at addr for a desired state newer than have. The state
 // that it returns has a version of at most have when there is none. Errors are of
 // kind Unavailable.
-func Fetch(ctx context.Context, addr netip.AddrPort, have uint64) (route.State, error) {
+func Fetch(ctx context.Context, dial Dial, addr netip.AddrPort, have uint64) (route.State, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp4", addr.String())
+	conn, err := dial(ctx, addr.String())
 	if err != nil {
 		return route.State{}, unavailable(err, addr)
 	}
--- a/internal/statesync/follower.go
+++ b/internal/statesync/follower.go
@@ -5,6 +5,7 @@
 package statesync
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -18,9 +19,13 @@
 	// the second in the order of balancers, and all others. Agents leave it to
 	// balancers unless they hear from none.
 	firstPatience    = 700 * time.Millisecond
-	secondPatience   = 1300 * time.Millisecond
-	balancerPatience = 1600 * time.Millisecond
-	agentPatience    = 2000 * time.Millisecond
+	secondPatience   = 1500 * time.Millisecond
+	balancerPatience = 1800 * time.Millisecond
+	agentPatience    = 2200 * time.Millisecond
+	// patiencePerDoubling is added for each doubling of the members beyond smallFleet:
+	// word of a confirmation takes that much longer to get around.
+	patiencePerDoubling = 250 * time.Millisecond
+	smallFleet          = 64
 	// patienceJitter spreads the processes.
 	patienceJitter = 300 * time.Millisecond
 	// firstAgentDelay lets agents that have just started ask their peers first.
@@ -52,25 +57,30 @@
 // is the place in the order of balancers, from zero, or AgentRank.
 func NewFollower(now time.Time, rank int, random *rand.Rand) *Follower {
 	f := &Follower{rand: random, nextRead: now, confirmed: now.Add(-time.Hour)}
-	f.SetRank(rank)
+	f.SetRank(rank, 0)
 	if rank == AgentRank {
 		f.nextRead = now.Add(firstAgentDelay)
 	}
 	return f
 }
 
-// SetRank changes the place in the order of balancers.
-func (f *Follower) SetRank(rank int) {
+// SetRank changes the place in the order of balancers, among so many members.
+func (f *Follower) SetRank(rank, members int) {
 	switch rank {
-	case AgentRank:
-		f.patience = agentPatience
 	case 0:
 		f.patience = firstPatience
+		return
 	case 1:
 		f.patience = secondPatience
+		return
+	case AgentRank:
+		f.patience = agentPatience
 	default:
 		f.patience = balancerPatience
 	}
+	if members > smallFleet {
+		f.patience += time.Duration(float64(patiencePerDoubling) * math.Log2(float64(members)/smallFleet))
+	}
 }
 
 // Table returns the state in force, or nil.
--- /dev/null
+++ b/internal/statesync/statesync_test.go
@@ -0,0 +1,111 @@
+package statesync_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/network"
+	"github.com/almondledge/almondledge/internal/route"
+	"github.com/almondledge/almondledge/internal/statesync"
+)
+
+var start = time.Unix(2_000_000_000, 0)
+
+func newFollower(rank int) *statesync.Follower {
+	return statesync.NewFollower(start, rank, rand.New(rand.NewPCG(1, 2)))
+}
+
+func TestNeverBackToALowerVersion(t *testing.T) {
+	is := is.New(t)
+	f := newFollower(0)
+	is.True(f.ShouldRead(start))
+	is.True(f.Read(start, route.State{Version: 5}))
+	is.True(!f.Offer(route.State{Version: 4}))
+	is.True(!f.Offer(route.State{Version: 5}))
+	is.True(!f.Read(start.Add(time.Second), route.State{Version: 3})) // an answer that was overtaken
+	is.Equal(f.Table().Version(), uint64(5))
+	is.Equal(f.Age(start), time.Duration(0)) // the overtaken answer confirms nothing
+}
+
+func TestOneReadAtATime(t *testing.T) {
+	is := is.New(t)
+	f := newFollower(0)
+	is.True(f.ShouldRead(start))
+	is.True(!f.ShouldRead(start.Add(time.Second)))
+	f.Failed(start.Add(time.Second))
+	is.True(!f.ShouldRead(start.Add(time.Second)))
+	is.True(f.ShouldRead(start.Add(3 * time.Second)))
+}
+
+func TestWordOfAConfirmationSparesReads(t *testing.T) {
+	is := is.New(t)
+	f := newFollower(2)
+	f.ShouldRead(start)
+	f.Read(start, route.State{Version: 5})
+	now := start
+	for range 20 {
+		now = now.Add(500 * time.Millisecond)
+		f.Heard(now, 5, 300*time.Millisecond)
+		is.True(!f.ShouldRead(now))
+	}
+	f.Heard(now, 4, 0) // an older version confirms nothing
+	is.True(f.ShouldRead(now.Add(3 * time.Second)))
+}
+
+// The bound for a change of the state is three seconds on the users' platform. A
+// process that hears from nobody must read early enough to hold it.
+func TestEveryRankReadsInTime(t *testing.T) {
+	const bound, readTime = 3 * time.Second, 300 * time.Millisecond
+	for _, rank := range []int{0, 1, 2, 7, statesync.AgentRank} {
+		is := is.New(t)
+		f := newFollower(rank)
+		f.SetRank(rank, 64)
+		f.ShouldRead(start.Add(time.Second))
+		f.Read(start.Add(time.Second), route.State{Version: 1})
+		is.True(f.ShouldRead(start.Add(time.Second + bound - readTime)))
+	}
+}
+
+func TestPauseAfterFailuresIsBounded(t *testing.T) {
+	is := is.New(t)
+	f := newFollower(0)
+	now := start
+	for range 30 {
+		is.True(f.ShouldRead(now))
+		f.Failed(now)
+		now = now.Add(time.Second)
+	}
+	is.Equal(f.Failures(), 30)
+}
+
+func TestFetch(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	table := route.NewTable(route.State{Version: 7, Routes: []route.Route{{Name: "a", Shares: []route.Share{{Service: "s", Weight: 1}}}}})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		statesync.Serve(listener, func() *route.Table { return table })
+	}()
+	addr := netip.MustParseAddrPort(listener.Addr().String())
+
+	state, err := statesync.Fetch(context.Background(), network.System{}.DialTCP, addr, 6)
+	is.NoErr(err)
+	is.Equal(state, table.State())
+	state, err = statesync.Fetch(context.Background(), network.System{}.DialTCP, addr, 7)
+	is.NoErr(err)
+	is.Equal(state.Version, uint64(0)) // nothing newer
+
+	is.NoErr(listener.Close())
+	<-done
+	_, err = statesync.Fetch(context.Background(), network.System{}.DialTCP, addr, 6)
+	is.True(errkind.Is(err, errkind.Unavailable))
+}
