Homes that leave or are silent are not asked; a leaving member has time to end

Ruled out: lost opening packets (trial that logged every copy: 8 in ten seconds). Members also declared a leaving process dead after 1 s while it still worked for 2 s. Change: agents that leave hold no homes; balancers ask the first home that answers.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -18,6 +18,8 @@
 	indirectTimeout = 180 * time.Millisecond
 	// suspectTimeout is how long a suspect has for its objection.
 	suspectTimeout = time.Second
+	// leaveTimeout is how long a member that has announced its end may still answer.
+	leaveTimeout = 6 * time.Second
 	// forgetTimeout is how long a dead member is remembered, so that late news of its
 	// life is recognised.
 	forgetTimeout = 90 * time.Second
--- a/internal/fleet/probe.go
+++ b/internal/fleet/probe.go
@@ -90,6 +90,9 @@
 	}
 	m := r.Member
 	m.Liveness = Suspect
+	if r.Liveness == Leaving {
+		m.Liveness = Dead // it has said that it would end
+	}
 	n.learn(now, m)
 }
 
@@ -99,7 +102,7 @@
 		age := now.Sub(r.since)
 		switch {
 		case r == n.self:
-		case (r.Liveness == Suspect || r.Liveness == Leaving) && age >= suspectTimeout:
+		case r.Liveness == Suspect && age >= suspectTimeout, r.Liveness == Leaving && age >= leaveTimeout:
 			m := r.Member
 			m.Liveness = Dead
 			n.learn(now, m)
--- a/internal/flowagent/claim.go
+++ b/internal/flowagent/claim.go
@@ -7,6 +7,7 @@
 	"github.com/almondledge/almondledge/internal/flow"
 	"github.com/almondledge/almondledge/internal/flowtable"
 	"github.com/almondledge/almondledge/internal/hop"
+	"github.com/almondledge/almondledge/internal/placement"
 )
 
 // HandleClaim notes that another agent has some flows.
@@ -19,7 +20,7 @@
 
 // claim tells the homes of one flow that this agent has it.
 func (a *Agent) claim(key flow.Key, e *flowtable.Entry) []hop.Send {
-	homes := a.cfg.Board.Homes(key, homesTold)
+	homes := a.cfg.Board.Homes(key, placement.HomesPerFlow)
 	e.HomesHash = homesHash(homes)
 	var sends []hop.Send
 	for _, home := range homes {
@@ -35,7 +36,7 @@
 func (a *Agent) claimAll() []hop.Send {
 	pending := map[netip.AddrPort][]flow.Key{}
 	a.flows.Visit(func(key flow.Key, e *flowtable.Entry) {
-		homes := a.cfg.Board.Homes(key, homesTold)
+		homes := a.cfg.Board.Homes(key, placement.HomesPerFlow)
 		hash := homesHash(homes)
 		if e.Phase == flowtable.Opening || hash == e.HomesHash {
 			return
--- a/internal/flowagent/flowagent.go
+++ b/internal/flowagent/flowagent.go
@@ -85,8 +85,6 @@
 	foreignTableSize = 8192
 	// cookies is the number of packets at the backend server whose way is remembered.
 	cookies = 4096
-	// homesTold is the number of agents that are told of a flow's owner.
-	homesTold = 2
 )
 
 // Limits of the requests in progress for each slot of the backend server.
--- a/internal/flowagent/search.go
+++ b/internal/flowagent/search.go
@@ -8,6 +8,7 @@
 	"github.com/almondledge/almondledge/internal/fleet"
 	"github.com/almondledge/almondledge/internal/flow"
 	"github.com/almondledge/almondledge/internal/hop"
+	"github.com/almondledge/almondledge/internal/placement"
 )
 
 const (
@@ -88,7 +89,7 @@
 // home returns the agent that keeps track of a flow, and whether it is this one.
 // Homes that have passed the packet on, or that do not answer, are left out.
 func (a *Agent) home(key flow.Key, f *hop.Forward) (netip.AddrPort, bool) {
-	for _, home := range a.cfg.Board.Homes(key, homesTold) {
+	for _, home := range a.cfg.Board.Homes(key, placement.HomesPerFlow) {
 		if home == a.cfg.Self {
 			return home, true
 		}
--- a/internal/flowbalancer/flowbalancer.go
+++ b/internal/flowbalancer/flowbalancer.go
@@ -69,9 +69,6 @@
 	placed    time.Time
 }
 
-// homesAsked is the number of agents that keep track of one flow.
-const homesAsked = 2
-
 // placementTime is how long an unconfirmed placement is trusted.
 const placementTime = 150 * time.Millisecond
 
@@ -180,12 +177,12 @@
 		return b.forward(d, known.agent, f, p, buf)
 	}
 	d.Outcome = AskedHome
-	homes := b.board.Homes(key, homesAsked)
-	if len(homes) == 0 {
+	home, ok := b.board.AnsweringHome(key)
+	if !ok {
 		d.Outcome = NotReady
 		return d
 	}
-	return b.forward(d, homes[0], hop.Forward{}, p, buf)
+	return b.forward(d, home, hop.Forward{}, p, buf)
 }
 
 // runs reports whether an agent is not known to have ended.
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -87,6 +87,9 @@
 	agent netip.AddrPort
 }
 
+// HomesPerFlow is the number of agents that keep track of one flow's owner.
+const HomesPerFlow = 2
+
 // pointsPerAgent evens out the parts of the ring.
 const pointsPerAgent = 8
 
@@ -127,6 +130,9 @@
 		}
 		b.services[m.Backend.Service] = append(b.services[m.Backend.Service], m)
 		for i := range pointsPerAgent {
+			if m.Liveness == fleet.Leaving {
+				break // its successors are told of its flows while it still answers
+			}
 			b.ring = append(b.ring, point{hash: pointHash(m.Addr, i), agent: m.Addr})
 		}
 	}
@@ -167,6 +173,21 @@
 // Agents returns the agents of a service that are not dead.
 func (b *Board) Agents(service string) []fleet.Member { return b.services[service] }
 
+// AnsweringHome returns the first home of a flow that is believed to answer, or the
+// first one if none is, and false if there are no agents.
+func (b *Board) AnsweringHome(key flow.Key) (netip.AddrPort, bool) {
+	homes := b.Homes(key, HomesPerFlow)
+	for _, home := range homes {
+		if b.members[home].Liveness == fleet.Alive {
+			return home, true
+		}
+	}
+	if len(homes) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return homes[0], true
+}
+
 // Homes returns up to count different agents that keep track of who owns a flow,
 // the first of them most likely. They depend on nothing but the set of agents.
 func (b *Board) Homes(key flow.Key, count int) []netip.AddrPort {
