--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -28,6 +28,7 @@
 	Drain    drainCommand     `cmd:"" help:"Take a backend server out of service, by a change ticket."`
 	Status   statusCommand    `cmd:"" help:"Show the configuration in force, who has it, and which processes are present."`
 	Settings settingsCommands `cmd:"" help:"Check settings files and make keys."`
+	Explain  explainCommand   `cmd:"" help:"Tell the story of one flow from the logs of several processes."`
 	Version  versionCommand   `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/internal/explain/cause.go
@@ -0,0 +1,61 @@
+package explain
+
+import "fmt"
+
+// causes maps the last outcome of a flow, and its reason, to what it means.
+var causes = map[string]string{
+	"no_route":   "the desired state in force at the balancer (see version and state_age) has no route for the address; the flow was refused at once, nothing has run",
+	"no_backend": "no backend server of the service took new flows (see agents, and the members around that time); the flow was refused at once, nothing has run",
+	"not_ready":  "the balancer had just started and knew no state or no agents yet; the packet was dropped and the caller's next copy counts",
+	"replaced":   "an agent left the opening packet unanswered (see unanswered_by); the copy went to another one",
+	"deferred":   "all backend servers of the route were crowded (see active); the packet was left to the caller's next copy",
+
+	"refused/crowded":                 "all backend servers of the route were crowded (see active), and this was the caller's last copy; nothing has run",
+	"refused/returned":                "the backend server returned the opening packet, and no other took it; nothing has run",
+	"refused/older_state":             "the agent had a newer desired state than the balancer, which has no such route; nothing has run",
+	"ended/no_agent_has_it":           "no agent's backend server held the flow any more; the caller was told by a reset",
+	"ended/backend_restarted":         "the flow's backend server has restarted (see born) and lost its flows; the caller was told by a reset",
+	"ended/claimed_backend_restarted": "the flow's backend server has restarted and lost its flows; the caller was told by a reset",
+	"ended/backend_lost_flow":         "the backend server returned a packet of a flow that it had held; the caller was told by a reset",
+	"lost/members_in_doubt":           "no agent had the flow, but some agent had gone without a word and its backend server may have it; the packet was dropped",
+	"lost/agent_silent":               "an agent did not answer the search for the flow; the packet was dropped",
+	"lost/search_under_way":           "the flow was being searched for; the packet was dropped and a retransmission counts",
+}
+
+// cause returns what the last line about the flow means, or "".
+func (s *Story) cause() string {
+	if len(s.decisions) == 0 {
+		return ""
+	}
+	last := &s.decisions[len(s.decisions)-1]
+	outcome, reason := last.get(fieldOutcome), last.get(fieldReason)
+	if cause, ok := causes[outcome+"/"+reason]; ok {
+		return cause
+	}
+	return causes[outcome]
+}
+
+// missing names what the logs should have and do not.
+func (s *Story) missing() []string {
+	var missing []string
+	roles := map[string]bool{}
+	for _, l := range s.decisions {
+		roles[l.get(fieldRole)] = true
+	}
+	if len(s.decisions) > 0 && !roles["balancer"] {
+		missing = append(missing, "no line of a balancer; its logs are not here, or the line was sampled out")
+	}
+	if len(s.decisions) > 0 && !roles["agent"] {
+		missing = append(missing, "no line of an agent; its logs are not here, or the packet never reached one")
+	}
+	if s.omitted > 0 {
+		missing = append(missing, fmt.Sprintf("%d decisions about any flow around that time have no line (limits of lines a second)", s.omitted))
+	}
+	if s.torn > 0 {
+		missing = append(missing, fmt.Sprintf("%d lines could not be read", s.torn))
+	}
+	if s.doubled > 0 {
+		missing = append(missing, fmt.Sprintf("%d lines came twice and count once", s.doubled))
+	}
+	return missing
+}
--- a/internal/standin/flows/backend.go
+++ b/internal/standin/flows/backend.go
@@ -8,14 +8,22 @@
 // one packet with data, with a packet that carries its name. It is not safe for
 // concurrent use.
 type Backend struct {
-	// Name is the data of every answer.
+	// Name begins the data of every answer.
 	Name string
+	// Wire is the packet format.
+	Wire Wire
+	// Echo adds the request to the answer.
+	Echo bool
 	// Full refuses new flows.
 	Full bool
 	// Runs counts the requests that it has worked on.
-	Runs  int
-	isn   uint32
-	flows map[flow.Key]*backendFlow
+	Runs int
+	// OnRun, if set, is called with each request, and OnOpen with each opening packet
+	// that is taken.
+	OnRun  func(request []byte)
+	OnOpen func(key flow.Key)
+	isn    uint32
+	flows  map[flow.Key]*backendFlow
 }
 
 type backendFlow struct {
@@ -31,7 +39,7 @@
 // NewBackend returns a backend server without flows. Different seeds give different
 // first numbers.
 func NewBackend(name string, seed uint32) *Backend {
-	return &Backend{Name: name, isn: seed * 7919 * 65537, flows: map[flow.Key]*backendFlow{}}
+	return &Backend{Name: name, Wire: Codec{}, isn: seed * 7919 * 65537, flows: map[flow.Key]*backendFlow{}}
 }
 
 // Len returns the number of flows that it holds.
@@ -39,7 +47,7 @@
 
 // Handle takes a packet and returns the packets that it sends.
 func (b *Backend) Handle(raw []byte) [][]byte {
-	p, err := Codec{}.Parse(raw)
+	p, err := b.Wire.Parse(raw)
 	if err != nil {
 		return nil
 	}
@@ -47,14 +55,16 @@
 	f := b.flows[key]
 	switch {
 	case p.Opens() && f == nil && b.Full, !p.Opens() && f == nil:
-		returned := append([]byte(nil), raw...)
-		returned[flagsAt] |= byte(flow.Returned)
-		return [][]byte{returned}
+		p.Flags |= flow.Returned
+		return [][]byte{b.Wire.Build(p, data(&p))}
 	case p.Opens():
 		if f == nil {
 			b.isn += isnStep + 12345
 			f = &backendFlow{next: b.isn + 1}
 			b.flows[key] = f
+			if b.OnOpen != nil {
+				b.OnOpen(key)
+			}
 		}
 		return [][]byte{b.build(key, flow.SYN|flow.ACK, f.next-1, p.Seq+1, nil)}
 	case p.Flags.Has(flow.RST) || p.Flags.Has(flow.FIN):
@@ -66,12 +76,22 @@
 		return [][]byte{f.answer} // the answer was lost on its way
 	}
 	b.Runs++
+	if b.OnRun != nil {
+		b.OnRun(data(&p))
+	}
+	answer := []byte(b.Name)
+	if b.Echo {
+		answer = append(append(answer, ' '), data(&p)...)
+	}
 	f.request = p.Seq
-	f.answer = b.build(key, flow.ACK, f.next, p.Seq+uint32(p.Length), []byte(b.Name))
-	f.next += uint32(len(b.Name))
+	f.answer = b.build(key, flow.ACK, f.next, p.Seq+uint32(p.Length), answer)
+	f.next += uint32(len(answer))
 	return [][]byte{f.answer}
 }
 
 func (b *Backend) build(key flow.Key, flags flow.Flags, seq, ack uint32, data []byte) []byte {
-	return Build(flow.Packet{Src: key.Front, Dst: key.Caller, Flags: flags, Seq: seq, Ack: ack}, data)
+	return b.Wire.Build(flow.Packet{Src: key.Front, Dst: key.Caller, Flags: flags, Seq: seq, Ack: ack}, data)
 }
+
+// data returns what a packet carries behind its head.
+func data(p *flow.Packet) []byte { return p.Raw[len(p.Raw)-p.Length:] }
--- a/internal/standin/flows/caller.go
+++ b/internal/standin/flows/caller.go
@@ -4,7 +4,8 @@
 
 // Caller is a caller's end of one flow. It is not safe for concurrent use.
 type Caller struct {
-	Key flow.Key
+	Key  flow.Key
+	Wire Wire
 	// Open is set once the flow is open, Reset once it was reset.
 	Open, Reset bool
 	// Answers are the data of the answers in the order of their arrival.
@@ -12,11 +13,13 @@
 	seq     uint32
 	ack     uint32
 	copies  uint32
+	// last is the size of the last request; sent is set until it is answered.
+	last, sent uint32
 }
 
 // NewCaller returns the caller's end of a flow that is not open yet.
 func NewCaller(key flow.Key) *Caller {
-	return &Caller{Key: key, seq: uint32(key.Hash())}
+	return &Caller{Key: key, Wire: Codec{}, seq: uint32(key.Hash())}
 }
 
 // Opening returns the opening packet, or the next copy of it.
@@ -26,14 +29,24 @@
 	return raw
 }
 
-// Request returns a packet with a request; the flow must be open.
+// Request returns a packet with a request, or a copy of the last one while that is
+// unanswered; the flow must be open.
 func (c *Caller) Request(text string) []byte {
+	if c.sent == 0 {
+		c.seq += c.last
+		c.last, c.sent = uint32(len(text)), 1
+	}
 	return c.build(flow.ACK, c.seq+1, c.ack, []byte(text))
 }
 
+// Close returns a packet that ends the flow.
+func (c *Caller) Close() []byte {
+	return c.build(flow.FIN|flow.ACK, c.seq+c.last+1, c.ack, nil)
+}
+
 // Handle takes a packet and returns what the caller sends at once, or nil.
 func (c *Caller) Handle(raw []byte) []byte {
-	p, err := Codec{}.Parse(raw)
+	p, err := c.Wire.Parse(raw)
 	if err != nil || p.BackendKey() != c.Key {
 		return nil
 	}
@@ -51,11 +64,12 @@
 		return c.build(flow.ACK, c.seq+1, c.ack, nil)
 	case p.Length > 0 && p.Seq == c.ack:
 		c.ack += uint32(p.Length)
-		c.Answers = append(c.Answers, string(raw[headSize:]))
+		c.Answers = append(c.Answers, string(data(&p)))
+		c.sent = 0
 	}
 	return c.build(flow.ACK, c.seq+1, c.ack, nil)
 }
 
 func (c *Caller) build(flags flow.Flags, seq, ack uint32, data []byte) []byte {
-	return Build(flow.Packet{Src: c.Key.Caller, Dst: c.Key.Front, Flags: flags, Seq: seq, Ack: ack}, data)
+	return c.Wire.Build(flow.Packet{Src: c.Key.Caller, Dst: c.Key.Front, Flags: flags, Seq: seq, Ack: ack}, data)
 }
--- a/internal/standin/flows/codec.go
+++ b/internal/standin/flows/codec.go
@@ -10,6 +10,13 @@
 	"github.com/almondledge/almondledge/internal/flow"
 )
 
+// Wire is a packet format with all that an end of a flow needs of it.
+type Wire interface {
+	flow.Codec
+	// Build returns the bytes of a packet with data behind its head.
+	Build(p flow.Packet, data []byte) []byte
+}
+
 // headSize is the size of a packet's head: key, flags, numbers and cookie.
 const headSize = 2*6 + 1 + 4 + 4 + 4
 
@@ -26,7 +33,7 @@
 // Codec is a packet format of the stand-ins' own.
 type Codec struct{}
 
-var _ flow.Codec = Codec{}
+var _ Wire = Codec{}
 
 // Parse reads a packet.
 func (Codec) Parse(raw []byte) (flow.Packet, error) {
@@ -62,11 +69,11 @@
 
 // Reset returns a packet that ends or refuses a flow.
 func (Codec) Reset(key flow.Key, seq uint32) []byte {
-	return Build(flow.Packet{Src: key.Front, Dst: key.Caller, Flags: flow.RST, Seq: seq}, nil)
+	return Codec{}.Build(flow.Packet{Src: key.Front, Dst: key.Caller, Flags: flow.RST, Seq: seq}, nil)
 }
 
 // Build returns the bytes of a packet with data behind its head.
-func Build(p flow.Packet, data []byte) []byte {
+func (Codec) Build(p flow.Packet, data []byte) []byte {
 	raw := make([]byte, headSize, headSize+len(data))
 	copy(raw[srcAt:], p.Src.IP[:])
 	binary.BigEndian.PutUint16(raw[srcAt+4:], p.Src.Port)
