--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -21,6 +21,7 @@
 	Latency  latencyCmd  `cmd:"" help:"Compare request times with a direct HTTP/3 call."`
 	Slopes   slopesCmd   `cmd:"" help:"Measure how control grows with the number of nodes."`
 	Spread   spreadCmd   `cmd:"" help:"Compare policies that spread work over backend servers."`
+	Soak     soakCmd     `cmd:"" help:"Play random faults against real processes on the users' platform stand-in."`
 	State    stateCmd    `cmd:"" help:"Measure what one balancer holds at the design size."`
 }
 
--- /dev/null
+++ b/cmd/lab/soak.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/platform/soak"
+)
+
+// soakCmd plays random faults against real processes.
+type soakCmd struct {
+	Binary      string        `required:"" placeholder:"FILE" type:"existingfile" help:"The almondledge binary."`
+	Dir         string        `required:"" placeholder:"DIR" help:"Folder for settings and logs, one below it for each seed."`
+	Seed        uint64        `default:"1" help:"First seed."`
+	Seeds       int           `default:"1" help:"Number of seeds, played one after the other."`
+	Faults      time.Duration `default:"20s" help:"How long faults are played for each seed."`
+	Balancers   int           `default:"3" help:"Number of balancers."`
+	Agents      int           `default:"6" help:"Number of agents."`
+	Callers     int           `default:"20" help:"Number of callers."`
+	PlannedOnly bool          `help:"Play work of operators only."`
+	Quiet       bool          `help:"Print no line for each fault."`
+}
+
+// Run plays the seeds and fails if a promise was broken.
+func (c soakCmd) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	broken := 0
+	for seed := c.Seed; seed < c.Seed+uint64(c.Seeds) && ctx.Err() == nil; seed++ {
+		dir := filepath.Join(c.Dir, fmt.Sprint(seed))
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			return err
+		}
+		var out io.Writer = os.Stdout
+		if c.Quiet {
+			out = io.Discard
+		}
+		result, err := soak.Run(ctx, soak.Config{
+			Seed: seed, Binary: c.Binary, Dir: dir, Balancers: c.Balancers, Agents: c.Agents, Callers: c.Callers,
+			Faults: c.Faults, PlannedOnly: c.PlannedOnly, Out: out,
+		})
+		if err != nil {
+			return err
+		}
+		fmt.Printf("seed %d: served %d, refused %d, unserved %d, after the recovery %.3f served, %d promises broken\n",
+			seed, result.Served, result.Refused, result.Unserved, result.RecoveredShare, len(result.Broken))
+		for _, b := range result.Broken {
+			fmt.Println("  ", b)
+		}
+		broken += len(result.Broken)
+	}
+	if broken > 0 {
+		return errkind.New(errkind.Conflict, fmt.Sprintf("%d promises broken", broken), "look at the logs below "+c.Dir+" with almondledge explain")
+	}
+	return nil
+}
--- a/internal/standin/flows/backend.go
+++ b/internal/standin/flows/backend.go
@@ -42,6 +42,9 @@
 	return &Backend{Name: name, Wire: Codec{}, isn: seed * 7919 * 65537, flows: map[flow.Key]*backendFlow{}}
 }
 
+// Holds reports whether it holds a flow.
+func (b *Backend) Holds(key flow.Key) bool { return b.flows[key] != nil }
+
 // Len returns the number of flows that it holds.
 func (b *Backend) Len() int { return len(b.flows) }
 
