--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -28,6 +28,9 @@
 	// rejoinPeriod is the time between two messages to seeds that are not known as alive,
 	// which brings a deployment together again after it was cut in two.
 	rejoinPeriod = time.Second
+	// isolationTimeout is the silence of everybody after which a member takes its own
+	// link for broken rather than all the others.
+	isolationTimeout = 600 * time.Millisecond
 	// freezeLimit is the gap between two ticks after which the process itself must
 	// have stood still.
 	freezeLimit = 700 * time.Millisecond
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -218,6 +218,31 @@
 	}
 }
 
+func TestIsolatedNodeBlamesItsOwnLink(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(12)
+	m.run(2 * time.Second)
+	alone := addrOf(3)
+	m.cut = func(from, to netip.AddrPort) bool { return from == alone || to == alone }
+	m.run(time.Second)
+	is.True(m.nodes[alone].Isolated(m.now))
+	is.True(!m.nodes[addrOf(4)].Isolated(m.now))
+	m.run(5 * time.Second)
+	suspected := 0
+	for i := range 12 {
+		if member, _ := m.believe(3, i); member.Liveness != fleet.Alive {
+			suspected++
+		}
+	}
+	is.True(suspected <= 3) // those that were probed before the silence was noticed
+	m.cut = func(_, _ netip.AddrPort) bool { return false }
+	m.run(5 * time.Second)
+	is.True(!m.nodes[alone].Isolated(m.now))
+	for i := range 12 {
+		is.True(m.agree(i, fleet.Alive))
+	}
+}
+
 func TestOneWayCutIsBridgedByOthers(t *testing.T) {
 	is := is.New(t)
 	m := newMesh(12)
--- a/internal/fleet/handle.go
+++ b/internal/fleet/handle.go
@@ -20,6 +20,7 @@
 	if m.From.Addr == n.self.Addr {
 		return nil, nil, nil // this member's own words, by way of a stale address
 	}
+	n.lastHeard = now
 	n.takeIn(now, m)
 	switch m.Type {
 	case typePing:
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -41,6 +41,8 @@
 	joined     bool
 
 	lastTick, nextProbe, nextJoin time.Time
+	// lastHeard is when any other member was heard last.
+	lastHeard time.Time
 
 	out    []Send
 	events []Event
@@ -49,11 +51,12 @@
 // New returns a node that starts at time now.
 func New(now time.Time, cfg Config) *Node {
 	n := &Node{
-		cfg:      cfg,
-		records:  map[netip.AddrPort]*record{},
-		probes:   map[uint32]*probe{},
-		relays:   map[uint32]relay{},
-		lastTick: now,
+		cfg:       cfg,
+		records:   map[netip.AddrPort]*record{},
+		probes:    map[uint32]*probe{},
+		relays:    map[uint32]relay{},
+		lastTick:  now,
+		lastHeard: now,
 	}
 	cfg.Self.Revision = 1
 	n.self = &record{Member: cfg.Self, since: now}
@@ -88,6 +91,7 @@
 func (n *Node) thaw(now time.Time, gap time.Duration) {
 	n.events = append(n.events, Event{Kind: Frozen, Gap: gap})
 	clear(n.probes)
+	n.lastHeard = now
 	for _, r := range n.records {
 		if r.Liveness == Suspect {
 			r.since = now
@@ -128,6 +132,11 @@
 // SetSeeds replaces the members to contact first, after the settings changed.
 func (n *Node) SetSeeds(seeds []netip.AddrPort) { n.cfg.Seeds = slices.Clone(seeds) }
 
+// Isolated reports whether this member hears nobody though it knows others.
+func (n *Node) Isolated(now time.Time) bool {
+	return len(n.order) > 0 && now.Sub(n.lastHeard) >= isolationTimeout
+}
+
 // Joined reports whether another member has answered with its table.
 func (n *Node) Joined() bool { return n.joined }
 
--- a/internal/fleet/probe.go
+++ b/internal/fleet/probe.go
@@ -85,7 +85,7 @@
 
 func (n *Node) suspect(now time.Time, a netip.AddrPort) {
 	r := n.records[a]
-	if r == nil || r.Liveness >= Suspect {
+	if r == nil || r.Liveness >= Suspect || n.Isolated(now) {
 		return
 	}
 	m := r.Member
--- a/internal/flowproc/balancer.go
+++ b/internal/flowproc/balancer.go
@@ -174,8 +174,11 @@
 // settle finds out whether enough is known to take callers' packets, and to refuse flows.
 func (b *Balancer) settle(now time.Time) {
 	waited := now.Sub(b.started) >= settleTime
-	b.balancer.SetSettled(waited || b.ready)
-	ready := b.follower.Table() != nil && !b.leaving && (b.ready || b.knowsEnough() || waited)
+	// Cut off from all agents, this balancer can serve nobody, but others may: callers'
+	// copies of opening packets will reach them once the fabric has noticed.
+	useful := b.board.AnyWilling() && !b.node.Isolated(now)
+	ready := b.follower.Table() != nil && !b.leaving && useful && (b.ready || b.knowsEnough() || waited)
+	b.balancer.SetSettled((waited || b.ready) && useful)
 	if ready != b.ready {
 		b.ready = ready
 		b.log.event("readiness changed", fields{"ready": ready, "version": b.follower.Table().Version(), "since_start": now.Sub(b.started)})
--- a/internal/flowproc/deployment_test.go
+++ b/internal/flowproc/deployment_test.go
@@ -91,6 +91,8 @@
 	kill  context.CancelFunc
 	drain context.CancelFunc
 	done  chan struct{}
+	// ready returns nil if the process takes callers' packets.
+	ready func() error
 }
 
 // agentProcess is an agent with its backend server.
@@ -210,6 +212,7 @@
 		d.t.Fatal(err)
 	}
 	p := d.start(addr, b.Run)
+	p.ready = b.Ready
 	return &p
 }
 
--- a/internal/flowproc/flowproc_test.go
+++ b/internal/flowproc/flowproc_test.go
@@ -211,3 +211,27 @@
 	_, err = flowproc.NewAgent(flowproc.AgentConfig{}, flowproc.Options{})
 	is.True(err != nil)
 }
+
+// Found by a day of our own: a balancer that is cut off from all agents kept
+// taking callers' packets and refused them, although others could serve them.
+func TestABalancerCutOffFromAllAgentsLeavesTheRotation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := deploy(t, 2, 3)
+		is.NoErr(d.balancers[0].ready())
+		alone := balancerAddr(0)
+		d.net.SetLinks(func(from, to netip.Addr) memnet.Link {
+			inside := from.As4()[0] == 10 && to.As4()[0] == 10
+			return memnet.Link{Delay: 2 * time.Millisecond, Cut: inside && (from == alone) != (to == alone)}
+		})
+		time.Sleep(3 * time.Second)
+		is.True(d.balancers[0].ready() != nil)
+		c := d.call(0, 1000)
+		is.True(!d.read(c).Reset) // the next copy may reach another balancer
+		is.NoErr(d.balancers[1].ready())
+		d.net.SetLinks(func(_, _ netip.Addr) memnet.Link { return memnet.Link{Delay: 2 * time.Millisecond} })
+		time.Sleep(4 * time.Second)
+		is.NoErr(d.balancers[0].ready())
+		is.Equal(len(d.read(d.call(0, 1001)).Answers), 1)
+	})
+}
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -160,6 +160,16 @@
 	return !b.doubt && now.Sub(b.started) >= startTime && now.Sub(b.lastNew) >= settleTime
 }
 
+// AnyWilling reports whether any agent takes new flows.
+func (b *Board) AnyWilling() bool {
+	for _, m := range b.members {
+		if m.Willing() {
+			return true
+		}
+	}
+	return false
+}
+
 // AllAgents returns the agents whose backend servers may have flows. The slice must
 // not be changed.
 func (b *Board) AllAgents() []netip.AddrPort { return b.agents }
--- a/internal/standin/flows/backend.go
+++ b/internal/standin/flows/backend.go
@@ -28,6 +28,8 @@
 
 type backendFlow struct {
 	next uint32
+	// expected is the number of the next request.
+	expected uint32
 	// request is the number of the last request, answer what was sent for it.
 	request uint32
 	answer  []byte
@@ -63,7 +65,7 @@
 	case p.Opens():
 		if f == nil {
 			b.isn += isnStep + 12345
-			f = &backendFlow{next: b.isn + 1}
+			f = &backendFlow{next: b.isn + 1, expected: p.Seq + 1}
 			b.flows[key] = f
 			if b.OnOpen != nil {
 				b.OnOpen(key)
@@ -75,9 +77,12 @@
 		return [][]byte{b.build(key, flow.FIN|flow.ACK, f.next, p.Seq+1, nil)}
 	case p.Length == 0:
 		return nil
-	case f.answer != nil && p.Seq == f.request && p.Ack != f.next:
+	case f.answer != nil && p.Seq == f.request:
 		return [][]byte{f.answer} // the answer was lost on its way
+	case p.Seq != f.expected:
+		return nil // a copy of an older request that was held up
 	}
+	f.expected = p.Seq + uint32(p.Length)
 	b.Runs++
 	if b.OnRun != nil {
 		b.OnRun(data(&p))
