Members are applied one by one; homes change in one pass

Change: counts and services change with each statement, the ring of homes in one merge; only fading members are looked at; replies carry the recent changes or a random part. The order of reading the store is kept, not computed.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -47,6 +47,8 @@
 	repeatsPerDoubling = 2
 	// tableParts bounds the datagrams that answer one difference between tables.
 	tableParts = 24
+	// recentMembers is the number of members whose changes are sent first when tables differ.
+	recentMembers = 2 * maxDatagramMembers
 	// pickTries bounds the draws when random members are chosen.
 	pickTries = 24
 )
@@ -80,6 +82,10 @@
 const (
 	// MemberChanged: a statement about Member came into force here.
 	MemberChanged EventKind = iota + 1
+	// SelfChanged: Member is this member's own new statement.
+	SelfChanged
+	// MemberForgotten: Member was dead for long, and is no longer in the table.
+	MemberForgotten
 	// Frozen: this process stood still for Gap.
 	Frozen
 	// Refuted: this member objected to a suspicion or to an older life at its address.
--- a/internal/fleet/handle.go
+++ b/internal/fleet/handle.go
@@ -1,9 +1,7 @@
 package fleet
 
 import (
-	"cmp"
 	"net/netip"
-	"slices"
 	"time"
 )
 
@@ -32,7 +30,7 @@
 	case typeNews, typeTable:
 		n.joined = n.joined || (m.Type == typeTable && !m.Ask)
 		if m.Ask {
-			n.sendTable(m.From.Addr, 0)
+			n.sendTable(m.From.Addr)
 		}
 	}
 	if m.Type == typePing && m.Sum != n.sum {
@@ -104,38 +102,49 @@
 	n.sendTo(ping, m.Target)
 }
 
-// compare answers a ping whose sender has another table. Both send the part of
-// theirs that changed last, which is where they most likely differ; the sender
-// does so when it is probed in turn.
+// compare answers a ping whose sender has another table with a part of this one:
+// what changed last, where they most likely differ, or at times any part.
 func (n *Node) compare(m *message) {
-	n.sendTable(m.From.Addr, 1)
+	if n.cfg.Rand.IntN(2) == 0 {
+		n.sendMembers(m.From.Addr, n.recent)
+		return
+	}
+	n.sendMembers(m.From.Addr, n.sample(maxDatagramMembers))
+}
+
+// sendTable sends the table, or as much of it as tableParts datagrams hold, to a
+// member that asked for it. The rest follows as tables are compared.
+func (n *Node) sendTable(to netip.AddrPort) {
+	n.sendMembers(to, append(n.sample(tableParts*maxDatagramMembers), n.self.Addr))
 }
 
-// sendTable sends statements, the newest first, in at most parts datagrams, or as
-// many as tableParts allows when parts is zero.
-func (n *Node) sendTable(to netip.AddrPort, parts int) {
-	records := make([]*record, 0, len(n.records))
-	for _, r := range n.records {
-		records = append(records, r)
+// sample returns up to count members from a random place of the probing order on.
+func (n *Node) sample(count int) []netip.AddrPort {
+	count = min(count, len(n.order))
+	chosen := make([]netip.AddrPort, 0, count+1)
+	if count == 0 {
+		return chosen
 	}
-	slices.SortFunc(records, func(a, b *record) int {
-		return cmp.Or(b.since.Compare(a.since), a.Addr.Compare(b.Addr))
-	})
-	if parts == 0 {
-		parts = tableParts
-	} else if len(records) > maxDatagramMembers && n.cfg.Rand.IntN(2) == 0 {
-		// Differences may lie deeper: now and then send a random part.
-		n.cfg.Rand.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
+	start := n.cfg.Rand.IntN(len(n.order))
+	for i := range count {
+		chosen = append(chosen, n.order[(start+i)%len(n.order)])
 	}
-	for range parts {
-		count := min(len(records), maxDatagramMembers)
+	return chosen
+}
+
+// sendMembers sends statements about members, the last of them first.
+func (n *Node) sendMembers(to netip.AddrPort, addrs []netip.AddrPort) {
+	for {
 		m := n.message(typeTable)
-		for _, r := range records[:count] {
-			m.Members = append(m.Members, r.Member)
+		for len(addrs) > 0 && len(m.Members) < maxDatagramMembers {
+			last := len(addrs) - 1
+			if r := n.records[addrs[last]]; r != nil {
+				m.Members = append(m.Members, r.Member)
+			}
+			addrs = addrs[:last]
 		}
 		n.sendTo(m, to)
-		records = records[count:]
-		if len(records) == 0 {
+		if len(addrs) == 0 {
 			return
 		}
 	}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -32,13 +32,16 @@
 	order []netip.AddrPort
 	next  int
 	// sum is the hash of the whole table: the exclusive or of all statements.
-	sum        uint64
-	generation uint64
-	queue      []news
-	probes     map[uint32]*probe
-	relays     map[uint32]relay
-	sequence   uint32
-	joined     bool
+	sum   uint64
+	queue []news
+	// fading holds the members that are not alive, whose time will end.
+	fading map[netip.AddrPort]*record
+	// recent lists members whose statements changed last, the newest at the end.
+	recent   []netip.AddrPort
+	probes   map[uint32]*probe
+	relays   map[uint32]relay
+	sequence uint32
+	joined   bool
 
 	lastTick, nextProbe, nextJoin time.Time
 	// lastHeard is when any other member was heard last.
@@ -53,6 +56,7 @@
 	n := &Node{
 		cfg:       cfg,
 		records:   map[netip.AddrPort]*record{},
+		fading:    map[netip.AddrPort]*record{},
 		probes:    map[uint32]*probe{},
 		relays:    map[uint32]relay{},
 		lastTick:  now,
@@ -63,7 +67,7 @@
 	n.self.sumCache = n.self.sum()
 	n.records[cfg.Self.Addr] = n.self
 	n.sum = n.self.sumCache
-	n.generation = 1
+	n.events = append(n.events, Event{Kind: SelfChanged, Member: n.self.Member})
 	return n
 }
 
@@ -143,8 +147,19 @@
 // Self returns this member's own statement.
 func (n *Node) Self() Member { return n.self.Member }
 
-// Generation changes whenever the table changes.
-func (n *Node) Generation() uint64 { return n.generation }
+// Len returns the number of members, dead ones included.
+func (n *Node) Len() int { return len(n.records) }
+
+// Count returns the number of members of a liveness.
+func (n *Node) Count(l Liveness) int {
+	count := 0
+	for _, r := range n.records {
+		if r.Liveness == l {
+			count++
+		}
+	}
+	return count
+}
 
 // Members returns all statements in the order of their addresses, dead members included.
 func (n *Node) Members() []Member {
@@ -160,6 +175,7 @@
 func (n *Node) restate(now time.Time) {
 	n.self.Revision++
 	n.replace(now, n.self, n.self.Member)
+	n.events = append(n.events, Event{Kind: SelfChanged, Member: n.self.Member})
 	n.spread(n.self.Addr)
 }
 
@@ -170,7 +186,13 @@
 	r.sumCache = m.sum()
 	r.since = now
 	n.sum ^= r.sumCache
-	n.generation++
+	if m.Liveness == Alive || r == n.self {
+		delete(n.fading, m.Addr)
+	} else {
+		n.fading[m.Addr] = r
+	}
+	n.recent = slices.DeleteFunc(n.recent, func(a netip.AddrPort) bool { return a == m.Addr })
+	n.recent = append(n.recent[max(0, len(n.recent)-recentMembers+1):], m.Addr)
 }
 
 // learn takes a statement of another member into the table if it is new.
--- a/internal/fleet/probe.go
+++ b/internal/fleet/probe.go
@@ -98,10 +98,9 @@
 
 // checkSuspects declares suspects dead that did not object, and forgets the dead.
 func (n *Node) checkSuspects(now time.Time) {
-	for a, r := range n.records {
+	for a, r := range n.fading {
 		age := now.Sub(r.since)
 		switch {
-		case r == n.self:
 		case r.Liveness == Suspect && age >= suspectTimeout, r.Liveness == Leaving && age >= leaveTimeout:
 			m := r.Member
 			m.Liveness = Dead
@@ -109,8 +108,9 @@
 		case r.Liveness == Dead && age >= forgetTimeout:
 			n.sum ^= r.sumCache
 			delete(n.records, a)
+			delete(n.fading, a)
 			n.order = slices.DeleteFunc(n.order, func(o netip.AddrPort) bool { return o == a })
-			n.generation++
+			n.events = append(n.events, Event{Kind: MemberForgotten, Member: r.Member})
 		}
 	}
 }
--- a/internal/flowagent/search.go
+++ b/internal/flowagent/search.go
@@ -105,8 +105,8 @@
 // are all. Flows stay where they are when their route changes, so the services
 // of today are not enough.
 func (a *Agent) candidates(front flow.Endpoint) (agents []netip.AddrPort, complete bool) {
-	if all := a.cfg.Board.AllAgents(); len(all) <= maxAsked {
-		return all, true
+	if a.cfg.Board.AskableCount() <= maxAsked {
+		return a.cfg.Board.Askable(), true
 	}
 	r := a.routes.Lookup(front)
 	if r == nil {
--- a/internal/flowproc/agent.go
+++ b/internal/flowproc/agent.go
@@ -143,7 +143,7 @@
 	for _, s := range sends {
 		a.sendMembership(s)
 	}
-	a.refreshBoard(now)
+	a.memberChanged(now, a.node.Self())
 }
 
 func (a *Agent) readBackend(ctx context.Context) error {
@@ -188,7 +188,7 @@
 	}
 }
 
-func (a *Agent) membersChanged(time.Time) { a.reclaim = true }
+func (a *Agent) homesChanged() { a.reclaim = true }
 
 func (a *Agent) routesChanged(t *route.Table) { a.agent.SetRoutes(t) }
 
--- a/internal/flowproc/balancer.go
+++ b/internal/flowproc/balancer.go
@@ -156,7 +156,7 @@
 	}
 }
 
-func (b *Balancer) membersChanged(now time.Time) { b.settle(now) }
+func (*Balancer) homesChanged() {}
 
 func (b *Balancer) routesChanged(t *route.Table) { b.balancer.SetRoutes(t) }
 
--- a/internal/flowproc/core.go
+++ b/internal/flowproc/core.go
@@ -35,8 +35,8 @@
 // role is the part of a process that differs between balancers and agents. Its
 // methods are called with core.mu held.
 type role interface {
-	// membersChanged follows a new view of the members, which the board has already.
-	membersChanged(now time.Time)
+	// homesChanged follows a change of the homes of flows.
+	homesChanged()
 	// routesChanged follows a new desired state.
 	routesChanged(t *route.Table)
 	// handlePeer takes a datagram of another member that is not about membership.
@@ -60,17 +60,16 @@
 	log     *eventLog
 	role    role
 
-	mu         sync.Mutex
-	node       *fleet.Node
-	board      *placement.Board
-	follower   *statesync.Follower
-	generation uint64
+	mu       sync.Mutex
+	node     *fleet.Node
+	board    *placement.Board
+	follower *statesync.Follower
 	// revision is the store's revision of the newest state read here, and lastRead when
 	// that state was last read in full.
 	revision int64
 	lastRead time.Time
-	// readers are the balancers that read the store before all others.
-	readers []netip.AddrPort
+	// balancers are the balancers that are alive, in the order of reading the store.
+	balancers []netip.AddrPort
 	// fetching is until when no second process is asked for a state.
 	fetching  time.Time
 	storeDown bool
@@ -163,7 +162,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.applyFleet(ctx, now)(c.node.Tick(now))
-	c.refreshBoard(now)
+	if c.board.Settle() {
+		c.role.homesChanged()
+	}
 	c.role.tick(now)
 	if c.follower.ShouldRead(now) {
 		go c.readStore(ctx, now)
@@ -201,6 +202,11 @@
 	switch e.Kind {
 	case fleet.MemberChanged:
 		c.log.member(e.Member)
+		c.memberChanged(now, e.Member)
+	case fleet.SelfChanged:
+		c.memberChanged(now, e.Member)
+	case fleet.MemberForgotten:
+		c.board.Forget(e.Member.Addr)
 	case fleet.Frozen:
 		c.log.event("process stood still", fields{"gap": e.Gap})
 	case fleet.Refuted:
@@ -216,30 +222,33 @@
 	}
 }
 
-// refreshBoard rebuilds the view of the members after changes.
-func (c *core) refreshBoard(now time.Time) {
-	if generation := c.node.Generation(); generation != c.generation {
-		c.generation = generation
-		members := c.node.Members()
-		c.board.SetMembers(now, members)
-		c.readers = firstBalancers(members)
-		c.follower.SetRank(c.rank(), len(members))
-		c.role.membersChanged(now)
+// memberChanged follows a new statement about a member.
+func (c *core) memberChanged(now time.Time, m fleet.Member) {
+	c.board.Apply(now, m)
+	if m.Role == fleet.Balancer {
+		c.orderBalancer(m.Addr, m.Liveness == fleet.Alive)
 	}
+	c.follower.SetRank(c.rank(), c.node.Len())
 }
 
 // readerCount is the number of balancers that hear at once of each read of the store.
 const readerCount = 4
 
-// firstBalancers returns the first balancers that are alive, in the order of their addresses.
-func firstBalancers(members []fleet.Member) []netip.AddrPort {
-	var first []netip.AddrPort
-	for _, m := range members {
-		if m.Role == fleet.Balancer && m.Liveness == fleet.Alive && len(first) < readerCount {
-			first = append(first, m.Addr)
-		}
+// orderBalancer puts a balancer in its place in the order of reading the store, or
+// takes it out.
+func (c *core) orderBalancer(addr netip.AddrPort, alive bool) {
+	i, listed := slices.BinarySearchFunc(c.balancers, addr, netip.AddrPort.Compare)
+	switch {
+	case alive && !listed:
+		c.balancers = slices.Insert(c.balancers, i, addr)
+	case !alive && listed:
+		c.balancers = slices.Delete(c.balancers, i, i+1)
 	}
-	return first
+}
+
+// readers returns the balancers that read the store before all others.
+func (c *core) readers() []netip.AddrPort {
+	return c.balancers[:min(readerCount, len(c.balancers))]
 }
 
 // rank returns the place of this process in the order of reading the store.
@@ -247,10 +256,8 @@
 	if c.node.Self().Role == fleet.Agent {
 		return statesync.AgentRank
 	}
-	if i := slices.Index(c.readers, c.cfg.Peer); i >= 0 {
-		return i
-	}
-	return len(c.readers)
+	place, _ := slices.BinarySearchFunc(c.balancers, c.cfg.Peer, netip.AddrPort.Compare)
+	return place
 }
 
 func (c *core) readPeers(ctx context.Context) error {
@@ -292,7 +299,6 @@
 		return
 	}
 	c.applyFleet(ctx, now)(sends, events)
-	c.refreshBoard(now)
 }
 
 // readStore asks the store for a newer desired state.
@@ -323,7 +329,7 @@
 		}
 	}
 	// The other readers need not read now.
-	sends, _ := c.node.Tell(c.readers)
+	sends, _ := c.node.Tell(c.readers())
 	for _, s := range sends {
 		c.sendMembership(s)
 	}
--- a/internal/flowproc/metrics.go
+++ b/internal/flowproc/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/almondledge/almondledge/internal/fleet"
 	"github.com/almondledge/almondledge/internal/telemetry"
 )
 
@@ -47,8 +48,12 @@
 		defer c.mu.Unlock()
 		return c.follower.Age(time.Now()).Seconds()
 	})
-	for _, liveness := range []string{"alive", "leaving", "suspect", "dead"} {
-		set.NewGauge(`almondledge_members{liveness="`+liveness+`"}`, func() float64 { return c.countMembers(liveness) })
+	for _, liveness := range []fleet.Liveness{fleet.Alive, fleet.Leaving, fleet.Suspect, fleet.Dead} {
+		set.NewGauge(`almondledge_members{liveness="`+liveness.String()+`"}`, func() float64 {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return float64(c.node.Count(liveness))
+		})
 	}
 	if ring := c.opt.Ring; ring != nil {
 		set.NewGauge("almondledge_log_lines_dropped", func() float64 { return float64(ring.Dropped()) })
@@ -63,18 +68,6 @@
 	}
 }
 
-func (c *core) countMembers(liveness string) float64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	count := 0
-	for _, m := range c.node.Members() {
-		if m.Liveness.String() == liveness {
-			count++
-		}
-	}
-	return float64(count)
-}
-
 // serveMetrics serves metrics until ctx ends. A process that cannot do so still
 // does its work.
 func (c *core) serveMetrics(ctx context.Context) error {
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -4,16 +4,11 @@
 package placement
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/almondledge/almondledge/internal/fleet"
-	"github.com/almondledge/almondledge/internal/flow"
 	"github.com/almondledge/almondledge/internal/route"
 )
 
@@ -64,35 +59,16 @@
 	loads      map[netip.AddrPort]*load
 	services   map[string][]fleet.Member
 	members    map[netip.AddrPort]fleet.Member
-	ring       []point
-	agents     []netip.AddrPort
-	// doubt is set while some agent has gone without a word: it may be back, and its
-	// backend server may hold flows meanwhile.
-	doubt bool
+	ring       ring
+	// askable, willing and doubtful count agents: those whose backend servers may have
+	// flows, those that take new flows, and those that have gone without a word. The
+	// last may be back, and their backend servers may hold flows meanwhile.
+	askable, willing, doubtful int
 	// lastNew is when an agent was first seen.
 	lastNew time.Time
 	started time.Time
 }
 
-// settleTime is how long no new agent must have appeared until the agents are
-// taken as known, and startTime how long a process must run for that.
-const (
-	settleTime = 300 * time.Millisecond
-	startTime  = 500 * time.Millisecond
-)
-
-// point is a place of an agent on the ring of homes.
-type point struct {
-	hash  uint64
-	agent netip.AddrPort
-}
-
-// HomesPerFlow is the number of agents that keep track of one flow's owner.
-const HomesPerFlow = 2
-
-// pointsPerAgent evens out the parts of the ring.
-const pointsPerAgent = 8
-
 // NewBoard returns the board of the process at self.
 func NewBoard(now time.Time, self netip.AddrPort, dataCentre string, random *rand.Rand) *Board {
 	return &Board{
@@ -106,120 +82,6 @@
 	}
 }
 
-// SetMembers takes over a new view of the members.
-func (b *Board) SetMembers(now time.Time, members []fleet.Member) {
-	known := len(b.agents)
-	b.agents = b.agents[:0]
-	b.doubt = false
-	clear(b.services)
-	clear(b.members)
-	b.ring = b.ring[:0]
-	for _, m := range members {
-		b.members[m.Addr] = m
-		if m.Role != fleet.Agent {
-			continue
-		}
-		if m.Liveness >= fleet.Suspect && m.Backend.State != fleet.BackendGone {
-			b.doubt = true
-		}
-		if m.Liveness == fleet.Dead {
-			continue
-		}
-		if m.Backend.State != fleet.BackendGone {
-			b.agents = append(b.agents, m.Addr)
-		}
-		b.services[m.Backend.Service] = append(b.services[m.Backend.Service], m)
-		for i := range pointsPerAgent {
-			if m.Liveness == fleet.Leaving {
-				break // its successors are told of its flows while it still answers
-			}
-			b.ring = append(b.ring, point{hash: pointHash(m.Addr, i), agent: m.Addr})
-		}
-	}
-	slices.SortFunc(b.ring, func(a, o point) int {
-		return cmp.Or(cmp.Compare(a.hash, o.hash), a.agent.Compare(o.agent))
-	})
-	if len(b.agents) > known {
-		b.lastNew = now
-	}
-	for a := range b.loads {
-		if _, ok := b.members[a]; !ok {
-			delete(b.loads, a)
-		}
-	}
-}
-
-func pointHash(a netip.AddrPort, i int) uint64 {
-	ip := a.Addr().As4()
-	return xxhash.Sum64([]byte{ip[0], ip[1], ip[2], ip[3], byte(a.Port() >> 8), byte(a.Port()), byte(i)})
-}
-
-// IsSettled reports whether the agents that are known are certainly all that may
-// have flows: none has gone without a word, and no new one has appeared for a while.
-func (b *Board) IsSettled(now time.Time) bool {
-	return !b.doubt && now.Sub(b.started) >= startTime && now.Sub(b.lastNew) >= settleTime
-}
-
-// AnyWilling reports whether any agent takes new flows.
-func (b *Board) AnyWilling() bool {
-	for _, m := range b.members {
-		if m.Willing() {
-			return true
-		}
-	}
-	return false
-}
-
-// AllAgents returns the agents whose backend servers may have flows. The slice must
-// not be changed.
-func (b *Board) AllAgents() []netip.AddrPort { return b.agents }
-
-// Member returns what is known of the process at a.
-func (b *Board) Member(a netip.AddrPort) (fleet.Member, bool) {
-	m, ok := b.members[a]
-	return m, ok
-}
-
-// Agents returns the agents of a service that are not dead.
-func (b *Board) Agents(service string) []fleet.Member { return b.services[service] }
-
-// AnsweringHome returns the first home of a flow that is believed to answer, or the
-// first one if none is, and false if there are no agents.
-func (b *Board) AnsweringHome(key flow.Key) (netip.AddrPort, bool) {
-	homes := b.Homes(key, HomesPerFlow)
-	for _, home := range homes {
-		if b.members[home].Liveness == fleet.Alive {
-			return home, true
-		}
-	}
-	if len(homes) == 0 {
-		return netip.AddrPort{}, false
-	}
-	return homes[0], true
-}
-
-// Homes returns up to count different agents that keep track of who owns a flow,
-// the first of them most likely. They depend on nothing but the set of agents.
-func (b *Board) Homes(key flow.Key, count int) []netip.AddrPort {
-	if len(b.ring) == 0 {
-		return nil
-	}
-	homes := make([]netip.AddrPort, 0, count)
-	hash := key.Hash()
-	start, _ := slices.BinarySearchFunc(b.ring, hash, func(p point, h uint64) int { return cmp.Compare(p.hash, h) })
-	for i := range b.ring {
-		agent := b.ring[(start+i)%len(b.ring)].agent
-		if slices.Contains(homes, agent) {
-			continue
-		}
-		homes = append(homes, agent)
-		if len(homes) == count {
-			break
-		}
-	}
-	return homes
-}
-
 // Report takes over an agent's own word about its load.
 func (b *Board) Report(agent netip.AddrPort, flows, active uint16) {
 	l := b.load(agent)
--- /dev/null
+++ b/internal/placement/members.go
@@ -0,0 +1,149 @@
+package placement
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/almondledge/almondledge/internal/fleet"
+)
+
+// settleTime is how long no new agent must have appeared until the agents are
+// taken as known, and startTime how long a process must run for that.
+const (
+	settleTime = 300 * time.Millisecond
+	startTime  = 500 * time.Millisecond
+)
+
+// Apply takes over new statements about members. Homes follow with the next Settle.
+func (b *Board) Apply(now time.Time, members ...fleet.Member) {
+	for i := range members {
+		m := &members[i]
+		old, known := b.members[m.Addr]
+		if known {
+			b.count(&old, -1)
+			b.leaveService(&old)
+		}
+		if isAskable(m) && (!known || !isAskable(&old)) {
+			b.lastNew = now
+		}
+		b.members[m.Addr] = *m
+		b.count(m, 1)
+		b.joinService(m)
+		b.moveOnRing(m.Addr, known && isHome(&old), isHome(m))
+	}
+}
+
+// Forget drops a member that has been dead for long.
+func (b *Board) Forget(addr netip.AddrPort) {
+	old, known := b.members[addr]
+	if !known {
+		return
+	}
+	b.count(&old, -1)
+	b.leaveService(&old)
+	b.moveOnRing(addr, isHome(&old), false)
+	delete(b.members, addr)
+	delete(b.loads, addr)
+}
+
+// Settle brings the homes of flows up to date, and reports whether any changed.
+func (b *Board) Settle() bool { return b.ring.settle() }
+
+// SetMembers takes over a whole view of the members.
+func (b *Board) SetMembers(now time.Time, members []fleet.Member) {
+	for addr := range b.members {
+		if !slices.ContainsFunc(members, func(m fleet.Member) bool { return m.Addr == addr }) {
+			b.Forget(addr)
+		}
+	}
+	b.Apply(now, members...)
+	b.Settle()
+}
+
+// isAskable reports whether a member is an agent whose backend server may have flows.
+func isAskable(m *fleet.Member) bool {
+	return m.Role == fleet.Agent && m.Liveness != fleet.Dead && m.Backend.State != fleet.BackendGone
+}
+
+// isDoubtful reports whether a member is an agent that has gone without a word.
+func isDoubtful(m *fleet.Member) bool {
+	return m.Role == fleet.Agent && m.Liveness >= fleet.Suspect && m.Backend.State != fleet.BackendGone
+}
+
+// isHome reports whether a member keeps track of flows. An agent that leaves does
+// not: its successors are told of its flows while it still answers.
+func isHome(m *fleet.Member) bool {
+	return m.Role == fleet.Agent && (m.Liveness == fleet.Alive || m.Liveness == fleet.Suspect)
+}
+
+// count adds a member to the counts, or takes it out with a step of -1.
+func (b *Board) count(m *fleet.Member, step int) {
+	if isAskable(m) {
+		b.askable += step
+	}
+	if isDoubtful(m) {
+		b.doubtful += step
+	}
+	if m.Willing() {
+		b.willing += step
+	}
+}
+
+func (b *Board) joinService(m *fleet.Member) {
+	if m.Role == fleet.Agent && m.Liveness != fleet.Dead {
+		b.services[m.Backend.Service] = append(b.services[m.Backend.Service], *m)
+	}
+}
+
+func (b *Board) leaveService(m *fleet.Member) {
+	agents := slices.DeleteFunc(b.services[m.Backend.Service], func(other fleet.Member) bool { return other.Addr == m.Addr })
+	if len(agents) == 0 {
+		delete(b.services, m.Backend.Service)
+		return
+	}
+	b.services[m.Backend.Service] = agents
+}
+
+func (b *Board) moveOnRing(addr netip.AddrPort, was, is bool) {
+	switch {
+	case was && !is:
+		b.ring.remove(addr)
+	case is && !was:
+		b.ring.add(addr)
+	}
+}
+
+// IsSettled reports whether the agents that are known are certainly all that may
+// have flows: none has gone without a word, and no new one has appeared for a while.
+func (b *Board) IsSettled(now time.Time) bool {
+	return b.doubtful == 0 && now.Sub(b.started) >= startTime && now.Sub(b.lastNew) >= settleTime
+}
+
+// AnyWilling reports whether any agent takes new flows.
+func (b *Board) AnyWilling() bool { return b.willing > 0 }
+
+// AskableCount returns the number of agents whose backend servers may have flows.
+func (b *Board) AskableCount() int { return b.askable }
+
+// Askable returns the agents whose backend servers may have flows, in the order of
+// their addresses.
+func (b *Board) Askable() []netip.AddrPort {
+	agents := make([]netip.AddrPort, 0, b.askable)
+	for addr, m := range b.members {
+		if isAskable(&m) {
+			agents = append(agents, addr)
+		}
+	}
+	slices.SortFunc(agents, netip.AddrPort.Compare)
+	return agents
+}
+
+// Member returns what is known of the process at a.
+func (b *Board) Member(a netip.AddrPort) (fleet.Member, bool) {
+	m, ok := b.members[a]
+	return m, ok
+}
+
+// Agents returns the agents of a service that are not dead.
+func (b *Board) Agents(service string) []fleet.Member { return b.services[service] }
