--- a/internal/placement/board_test.go
+++ b/internal/placement/board_test.go
@@ -151,3 +151,7 @@
 	is.Equal(b.ServiceByHash(placement.ServiceHash("t")), "t")
 	is.Equal(b.ServiceByHash(placement.ServiceHash("u")), "")
 }
+
+func addrPort(ip [4]byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4(ip), 7000)
+}
