--- a/internal/flowagent/backend.go
+++ b/internal/flowagent/backend.go
@@ -28,6 +28,9 @@
 		return d
 	}
 	answered := before == flowtable.Opening && e.Phase != flowtable.Opening
+	if answered {
+		d.Waited = max(1, e.Age(now))
+	}
 	if answered && e.Balancer != (flow.Endpoint{}) {
 		d.Sends = a.notify(e.Balancer, key, false)
 	}
--- a/internal/flowagent/flowagent.go
+++ b/internal/flowagent/flowagent.go
@@ -69,6 +69,9 @@
 	Key     flow.Key
 	// Reason says in a word why the packet was not simply delivered.
 	Reason string
+	// Waited is the time from an opening packet to the backend server's first answer,
+	// with the packet that is that answer; zero with all others.
+	Waited time.Duration
 	// Backend is set when the packet, as changed in place, goes to the backend server.
 	Backend []byte
 	Replies []Reply
--- a/internal/flowproc/agent.go
+++ b/internal/flowproc/agent.go
@@ -165,6 +165,9 @@
 // carryOut does what was decided about a packet.
 func (a *Agent) carryOut(now time.Time, d flowagent.Decision) {
 	a.metrics.outcomes[d.Outcome].Inc()
+	if d.Waited > 0 {
+		a.metrics.answerTime.Update(d.Waited.Seconds())
+	}
 	if d.Backend != nil {
 		if err := a.fromBackend.WriteTo(d.Backend, a.cfg.Backend); err != nil {
 			a.metrics.sendErrors.Inc()
--- a/internal/flowproc/balancer.go
+++ b/internal/flowproc/balancer.go
@@ -176,7 +176,7 @@
 	waited := now.Sub(b.started) >= settleTime
 	// Cut off from all agents, this balancer can serve nobody, but others may: callers'
 	// copies of opening packets will reach them once the fabric has noticed.
-	useful := b.board.AnyWilling() && !b.node.Isolated(now)
+	useful := b.board.AnyAnswering() && !b.node.Isolated(now)
 	ready := b.follower.Table() != nil && !b.leaving && useful && (b.ready || b.knowsEnough() || waited)
 	b.balancer.SetSettled((waited || b.ready) && useful)
 	if ready != b.ready {
--- a/internal/flowproc/core.go
+++ b/internal/flowproc/core.go
@@ -316,6 +316,7 @@
 		return
 	}
 	c.metrics.storeReads.Inc()
+	c.metrics.storeTime.Update(time.Since(begun).Seconds())
 	if c.storeDown {
 		c.storeDown = false
 		c.log.event("platform's store answers again", fields{"revision": revision})
@@ -383,6 +384,7 @@
 func (c *core) stateInForce(source string, took time.Duration) {
 	t := c.follower.Table()
 	c.metrics.stateChanges.Inc()
+	c.metrics.stateTime.Update(took.Seconds())
 	c.log.event("desired state in force", fields{"version": t.Version(), "source": source, "took": took, "routes": len(t.State().Routes)})
 	c.role.routesChanged(t)
 	sends, _ := c.node.Announce()
--- a/internal/flowproc/metrics.go
+++ b/internal/flowproc/metrics.go
@@ -23,6 +23,9 @@
 	outcomes                            []*metrics.Counter
 	// answerTime is the time from an opening packet to the backend server's answer.
 	answerTime *metrics.Histogram
+	// storeTime is the time of a read of the store, stateTime that from noticing a newer
+	// desired state to its being in force.
+	storeTime, stateTime *metrics.Histogram
 	// hops is the number of agents that passed a packet before it was delivered.
 	hops *metrics.Histogram
 }
@@ -40,6 +43,8 @@
 		fetchErrors:  set.NewCounter("almondledge_state_fetch_errors_total"),
 		stateChanges: set.NewCounter("almondledge_state_changes_total"),
 		answerTime:   set.NewHistogram("almondledge_flow_answer_seconds"),
+		storeTime:    set.NewHistogram("almondledge_store_read_seconds"),
+		stateTime:    set.NewHistogram("almondledge_state_fetch_seconds"),
 		hops:         set.NewHistogram("almondledge_packet_hops"),
 	}
 	set.NewGauge("almondledge_state_version", func() float64 { return float64(c.table().Version()) })
--- a/internal/flowtable/flowtable.go
+++ b/internal/flowtable/flowtable.go
@@ -151,6 +151,9 @@
 	return distance <= reach && distance >= -reach
 }
 
+// Age returns how long ago the flow was first seen.
+func (e *Entry) Age(now time.Time) time.Duration { return now.Sub(e.created) }
+
 // Began returns when the flow was first seen, in Unix milliseconds.
 func (e *Entry) Began() int64 { return e.created.UnixMilli() }
 
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -60,10 +60,10 @@
 	services   map[string][]fleet.Member
 	members    map[netip.AddrPort]fleet.Member
 	ring       ring
-	// askable, willing and doubtful count agents: those whose backend servers may have
-	// flows, those that take new flows, and those that have gone without a word. The
-	// last may be back, and their backend servers may hold flows meanwhile.
-	askable, willing, doubtful int
+	// askable, answering and doubtful count agents: those whose backend servers may have
+	// flows, those that are believed to answer, and those that have gone without a word.
+	// The last may be back, and their backend servers may hold flows meanwhile.
+	askable, answering, doubtful int
 	// lastNew is when an agent was first seen.
 	lastNew time.Time
 	started time.Time
--- a/internal/placement/members.go
+++ b/internal/placement/members.go
@@ -85,8 +85,8 @@
 	if isDoubtful(m) {
 		b.doubtful += step
 	}
-	if m.Willing() {
-		b.willing += step
+	if m.Role == fleet.Agent && m.Liveness == fleet.Alive {
+		b.answering += step
 	}
 }
 
@@ -120,8 +120,8 @@
 	return b.doubtful == 0 && now.Sub(b.started) >= startTime && now.Sub(b.lastNew) >= settleTime
 }
 
-// AnyWilling reports whether any agent takes new flows.
-func (b *Board) AnyWilling() bool { return b.willing > 0 }
+// AnyAnswering reports whether any agent is believed to answer.
+func (b *Board) AnyAnswering() bool { return b.answering > 0 }
 
 // AskableCount returns the number of agents whose backend servers may have flows.
 func (b *Board) AskableCount() int { return b.askable }
