Packets that come before a new balancer knows its way wait up to 0.18 s

Change: early packets wait and are decided again; addresses of the roster are asked at once; members count as known after 0.2 s without a new agent (was 0.3).

--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -125,7 +125,11 @@
 func (n *Node) SetLoad(load func() Load) { n.cfg.Load = load }
 
 // AddSeeds adds members to contact, such as those listed in the platform's store.
+// Until one has answered they are contacted with the next tick.
 func (n *Node) AddSeeds(seeds []netip.AddrPort) {
+	if !n.joined {
+		n.nextJoin = time.Time{}
+	}
 	for _, seed := range seeds {
 		if seed != n.self.Addr && !slices.Contains(n.cfg.Seeds, seed) {
 			n.cfg.Seeds = append(slices.Clone(n.cfg.Seeds), seed)
--- a/internal/flowproc/balancer.go
+++ b/internal/flowproc/balancer.go
@@ -1,6 +1,7 @@
 package flowproc
 
 import (
+	"bytes"
 	"context"
 	"net/netip"
 	"time"
@@ -37,8 +38,23 @@
 	balancer *flowbalancer.Balancer
 	buffer   []byte
 	ready    bool
+	// early holds callers' packets that came before this balancer knew where to send them.
+	early []earlyPacket
 }
 
+// earlyPacket is a caller's packet that waits for this balancer to know its way.
+type earlyPacket struct {
+	at  time.Time
+	raw []byte
+}
+
+const (
+	// maxEarly bounds the packets that wait, and earlyTime how long they do; callers
+	// send copies after that.
+	maxEarly  = 512
+	earlyTime = 180 * time.Millisecond
+)
+
 // NewBalancer binds the sockets of a balancer.
 func NewBalancer(cfg BalancerConfig, opt Options) (*Balancer, error) {
 	if err := cfg.Validate(); err != nil {
@@ -117,6 +133,9 @@
 
 func (b *Balancer) handleCaller(now time.Time, raw []byte) {
 	d := b.balancer.HandlePacket(now, raw, b.buffer)
+	if d.Outcome == flowbalancer.NotReady && !b.ready && len(b.early) < maxEarly && now.Sub(b.started) < settleTime {
+		b.early = append(b.early, earlyPacket{now, bytes.Clone(raw)})
+	}
 	b.metrics.outcomes[d.Outcome].Inc()
 	if d.To.IsValid() {
 		b.send(d.To, d.Forward)
@@ -169,7 +188,18 @@
 	b.balancer.HandleNotice(now, from, n)
 }
 
-func (b *Balancer) tick(now time.Time) { b.settle(now) }
+func (b *Balancer) tick(now time.Time) {
+	b.settle(now)
+	if b.ready && len(b.early) > 0 {
+		early := b.early
+		b.early = nil
+		for _, p := range early {
+			if now.Sub(p.at) < earlyTime {
+				b.handleCaller(now, p.raw)
+			}
+		}
+	}
+}
 
 // settle finds out whether enough is known to take callers' packets, and to refuse flows.
 func (b *Balancer) settle(now time.Time) {
--- a/internal/flowproc/flowproc_test.go
+++ b/internal/flowproc/flowproc_test.go
@@ -235,3 +235,16 @@
 		is.Equal(len(d.read(d.call(0, 1001)).Answers), 1)
 	})
 }
+
+// After a loss of everything callers' packets come before a balancer knows its way.
+func TestPacketsThatComeEarlyWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := deploy(t, 2, 3)
+		d.balancers[0].kill()
+		<-d.balancers[0].done
+		d.balancers[0] = d.startBalancer(0)
+		c := d.call(0, 1000) // one opening packet, in the balancer's first moment
+		is.Equal(len(d.read(c).Answers), 1)
+	})
+}
--- a/internal/placement/members.go
+++ b/internal/placement/members.go
@@ -11,8 +11,8 @@
 // settleTime is how long no new agent must have appeared until the agents are
 // taken as known, and startTime how long a process must run for that.
 const (
-	settleTime = 300 * time.Millisecond
-	startTime  = 500 * time.Millisecond
+	settleTime = 200 * time.Millisecond
+	startTime  = 400 * time.Millisecond
 )
 
 // Apply takes over new statements about members. Homes follow with the next Settle.
