--- a/internal/standin/flows/backend.go
+++ b/internal/standin/flows/backend.go
@@ -27,7 +27,8 @@
 }
 
 type backendFlow struct {
-	next uint32
+	// first and next are the numbers of the first byte that it sends and after the last.
+	first, next uint32
 	// expected is the number of the next request.
 	expected uint32
 	// request is the number of the last request, answer what was sent for it.
@@ -59,13 +60,13 @@
 	key := p.CallerKey()
 	f := b.flows[key]
 	switch {
-	case p.Opens() && f == nil && b.Full, !p.Opens() && f == nil:
+	case p.Opens() && f == nil && b.Full, !p.Opens() && !f.isMeant(&p):
 		p.Flags |= flow.Returned
 		return [][]byte{b.Wire.Build(p, data(&p))}
 	case p.Opens():
 		if f == nil {
 			b.isn += isnStep + 12345
-			f = &backendFlow{next: b.isn + 1, expected: p.Seq + 1}
+			f = &backendFlow{first: b.isn + 1, next: b.isn + 1, expected: p.Seq + 1}
 			b.flows[key] = f
 			if b.OnOpen != nil {
 				b.OnOpen(key)
@@ -101,5 +102,15 @@
 	return b.Wire.Build(flow.Packet{Src: key.Front, Dst: key.Caller, Flags: flags, Seq: seq, Ack: ack}, data)
 }
 
+// isMeant reports whether a packet belongs to the flow as this backend server has
+// answered it: the caller acknowledges only numbers of the backend server that it
+// has chosen.
+func (f *backendFlow) isMeant(p *flow.Packet) bool {
+	if f == nil || !p.Flags.Has(flow.ACK) {
+		return f != nil
+	}
+	return int32(p.Ack-f.first) >= 0 && int32(f.next-p.Ack) >= 0
+}
+
 // data returns what a packet carries behind its head.
 func data(p *flow.Packet) []byte { return p.Raw[len(p.Raw)-p.Length:] }
