--- a/internal/flowproc/agent.go
+++ b/internal/flowproc/agent.go
@@ -140,9 +140,7 @@
 		a.log.event("flows of an earlier backend server reset", fields{"flows": len(d.Replies), "born": before.Born})
 	}
 	sends, _ := a.node.SetBackend(now, b)
-	for _, s := range sends {
-		a.sendMembership(s)
-	}
+	a.sendMembership(sends)
 	a.memberChanged(now, a.node.Self())
 }
 
--- a/internal/flowproc/balancer.go
+++ b/internal/flowproc/balancer.go
@@ -146,9 +146,7 @@
 	if d.Doubted.IsValid() {
 		b.node.Probe(now, d.Doubted)
 		sends, _ := b.node.Flush()
-		for _, s := range sends {
-			b.sendMembership(s)
-		}
+		b.sendMembership(sends)
 	}
 	b.logDecision(now, &d)
 }
