--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -46,9 +46,9 @@
 	newsFanout = 3
 	// localShare is the share of probes and of news that stays in the own data centre.
 	localShare = 0.7
-	// repeatsPerDoubling bounds how often a change is passed on: so many times for each
-	// doubling of the number of members.
-	repeatsPerDoubling = 2
+	// doublingsPerRepeat bounds how often a change is passed on in probes: once more for
+	// so many doublings of the number of members. What that misses, tables show.
+	doublingsPerRepeat = 2
 	// tableParts bounds the datagrams that answer one difference between tables.
 	tableParts = 24
 	// pushedMembers is the number of changes in a message that passes one on at once, and
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -305,3 +305,30 @@
 		_, _, _ = node.Handle(m.now, addrOf(1), payload)
 	})
 }
+
+// The start of many members at once costs each of them a bounded number of bytes a
+// change, so that a large deployment can start within its budget.
+func TestCostOfAChange(t *testing.T) {
+	is := is.New(t)
+	const count, changes, limit = 120, 60, 1000 // bytes a node and change
+	m := newMesh(count)
+	m.run(20 * time.Second)
+	rest := m.bytes
+	m.run(5 * time.Second)
+	rest = m.bytes - rest
+	before := m.bytes
+	for i := range changes {
+		sends, events := m.nodes[addrOf(i)].SetBackend(m.now, fleet.Backend{Service: "alpha", State: fleet.BackendDraining})
+		m.post(addrOf(i), sends, events)
+		m.run(5 * time.Second / changes)
+	}
+	cost := float64(m.bytes-before-rest) / count / changes
+	t.Logf("%.0f bytes a node and change", cost)
+	is.True(cost < limit)
+	m.run(time.Second)
+	for i := range changes {
+		is.True(m.agree(i, fleet.Alive))
+		member, _ := m.believe(count-1, i)
+		is.Equal(member.Backend.State, fleet.BackendDraining)
+	}
+}
--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -16,7 +16,7 @@
 // spread passes a change on at once and queues it for later messages.
 func (n *Node) spread(a netip.AddrPort) {
 	n.queue = slices.DeleteFunc(n.queue, func(q news) bool { return q.addr == a })
-	repeats := repeatsPerDoubling*bits.Len(uint(len(n.records))) + newsFanout
+	repeats := bits.Len(uint(len(n.records)))/doublingsPerRepeat + newsFanout
 	n.queue = append(n.queue, news{addr: a, left: repeats})
 	m := n.message(typeNews)
 	m.Members = n.takeNews(pushedMembers)
