Limits of flows and priorities count; an older state picks no other service

Cause (reading pass): a crowded agent with an older desired state than the balancer chose the helping service by its own; the limit of flows of a service and the priority of routes were read and not used. Change: only a state known here lets another service help; an agent at its service's limit passes flows on; routes above the lowest priority may queue one request a slot more. Test of the load after a loss of everything: TestCrowdOfOpeningPackets.

--- a/internal/flowagent/flowagent.go
+++ b/internal/flowagent/flowagent.go
@@ -96,6 +96,8 @@
 	// from where on copies do.
 	crowdedFirst = 3
 	crowdedCopy  = 2
+	// crowdedPriority is added for routes above the lowest priority.
+	crowdedPriority = 1
 	// lastCopy is the number of the last copy of an opening packet.
 	lastCopy = 2
 	// maxReliefs bounds the crowded agents that one opening packet passes.
--- a/internal/flowagent/flowagent_test.go
+++ b/internal/flowagent/flowagent_test.go
@@ -14,6 +14,7 @@
 	"github.com/almondledge/almondledge/internal/hop"
 	"github.com/almondledge/almondledge/internal/placement"
 	"github.com/almondledge/almondledge/internal/route"
+	"github.com/almondledge/almondledge/internal/standin/flows"
 )
 
 func TestFlowStaysWithItsBackendAcrossBalancers(t *testing.T) {
@@ -83,6 +84,56 @@
 	}
 }
 
+func TestServiceLimitOfFlowsIsKept(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2)
+	w.setRoutes(route.State{
+		Version: 2, Routes: []route.Route{{Front: front, Shares: []route.Share{{Service: "alpha", Weight: 1}}}},
+		Services: []route.Service{{Name: "alpha", MaxFlows: 3}},
+	})
+	for port := uint16(1000); port < 1006; port++ {
+		w.open(port)
+	}
+	c := w.call(1006)
+	w.fromCaller(c.Opening())
+	is.True(c.Reset) // both have three
+	is.Equal(w.places[0].agent.Load().Flows, uint16(3))
+	is.Equal(w.places[1].agent.Load().Flows, uint16(3))
+}
+
+// Pattern: after a loss of everything all callers open flows at once. First opening
+// packets are shared out, copies wait, and orders come before feeds.
+func TestCrowdOfOpeningPackets(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2)
+	orders := flow.Endpoint{IP: front.IP, Port: 8080}
+	w.setRoutes(route.State{Version: 2, Routes: []route.Route{
+		{Front: front, Priority: 2, Shares: []route.Share{{Service: "alpha", Weight: 1}}},
+		{Front: orders, Priority: 1, Shares: []route.Share{{Service: "alpha", Weight: 1}}},
+	}})
+	opened := func(front flow.Endpoint, from, count uint16) int {
+		open := 0
+		for port := from; port < from+count; port++ {
+			c := flows.NewCaller(flow.Key{Caller: flow.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: port}, Front: front})
+			w.callers[c.Key] = c
+			w.fromCaller(c.Opening())
+			if c.Open {
+				open++
+			}
+			is.True(!c.Reset) // the next copy may find room
+		}
+		return open
+	}
+	const slots = 2 * 5
+	is.Equal(opened(front, 1000, 60), 3*slots)  // three requests a slot, on both agents
+	is.Equal(opened(orders, 2000, 60), 1*slots) // one more for the higher priority
+	for _, p := range w.places {
+		is.Equal(p.agent.Load().Active, uint16(4*5))
+	}
+	w.pass(time.Second) // the requests did not come
+	is.True(opened(front, 3000, 10) > 0)
+}
+
 func TestOpeningPacketNeverReachesAnotherService(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 2)
--- a/internal/flowagent/forward.go
+++ b/internal/flowagent/forward.go
@@ -61,6 +61,9 @@
 	if a.backend.State != fleet.BackendReady {
 		return "backend_" + a.backend.State.String()
 	}
+	if s := a.routes.Service(a.cfg.Service); s != nil && s.MaxFlows > 0 && a.flows.Open() >= int(s.MaxFlows) {
+		return "backend_full"
+	}
 	if f.Version >= a.routes.Version() {
 		if f.Service != placement.ServiceHash(a.cfg.Service) {
 			return "other_service"
@@ -76,12 +79,16 @@
 
 // isCrowded reports whether a new flow's request would wait for long at the backend
 // server. Copies of an opening packet give way to first ones: their requests have
-// waited already, and are late in any case.
+// waited already, and are late in any case. Routes of the lowest priority give way
+// to all others.
 func (a *Agent) isCrowded(p *flow.Packet) bool {
 	limit := crowdedFirst
 	if p.Ack > 0 {
 		limit = crowdedCopy
 	}
+	if r := a.routes.Lookup(p.Dst); r != nil && r.Priority < a.routes.LowestPriority() {
+		limit += crowdedPriority
+	}
 	return a.flows.Active() >= limit*int(max(1, a.backend.Slots))
 }
 
@@ -92,13 +99,9 @@
 	d := Decision{Outcome: Deferred, Key: p.CallerKey(), Reason: "crowded"}
 	d.Sends = a.notify(f.Balancer, d.Key, true)
 	f.Visited = append(slices.Clip(f.Visited), a.self)
-	if r := a.routes.Lookup(p.Dst); r != nil && len(f.Visited) <= maxReliefs {
-		skip := func(candidate netip.AddrPort) bool {
-			return slices.Contains(f.Visited, flow.EndpointOf(candidate))
-		}
-		to, service, found := a.cfg.Board.ChooseAmong(now, r, a.cfg.Service, skip)
+	if len(f.Visited) <= maxReliefs {
+		to, found := a.lessBusy(now, &f, p)
 		if found && a.cfg.Board.Busy(to) < crowdedFirst {
-			f.Version, f.Service = a.routes.Version(), placement.ServiceHash(service)
 			d.Outcome = Passed
 			d.Sends = append(d.Sends, hop.Send{To: to, Payload: f.AppendTo(nil)})
 			return d
@@ -111,6 +114,22 @@
 	return d
 }
 
+// lessBusy returns another agent for an opening packet, by the newer of the desired
+// states of this agent and of the packet's last sender. Only a state that is known
+// here lets another service help out.
+func (a *Agent) lessBusy(now time.Time, f *hop.Forward, p *flow.Packet) (netip.AddrPort, bool) {
+	skip := func(candidate netip.AddrPort) bool {
+		return slices.Contains(f.Visited, flow.EndpointOf(candidate))
+	}
+	r := a.routes.Lookup(p.Dst)
+	if f.Version > a.routes.Version() || r == nil {
+		return a.cfg.Board.Choose(now, a.cfg.Service, skip)
+	}
+	to, service, found := a.cfg.Board.ChooseAmong(now, r, a.cfg.Service, skip)
+	f.Version, f.Service = a.routes.Version(), placement.ServiceHash(service)
+	return to, found
+}
+
 // passOpening offers an opening packet to another agent, or refuses it at once
 // when there is none: the caller then knows that nothing has run.
 func (a *Agent) passOpening(now time.Time, f hop.Forward, p *flow.Packet, reason string) Decision {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -66,6 +66,7 @@
 	state    State
 	byFront  map[flow.Endpoint]*Route
 	services map[string]*Service
+	lowest   uint8
 }
 
 // NewTable indexes a state, which must not be changed afterwards.
@@ -77,6 +78,7 @@
 	}
 	for i := range s.Routes {
 		t.byFront[s.Routes[i].Front] = &s.Routes[i]
+		t.lowest = max(t.lowest, s.Routes[i].Priority)
 	}
 	for i := range s.Services {
 		t.services[s.Services[i].Name] = &s.Services[i]
@@ -111,6 +113,14 @@
 	return t.services[name]
 }
 
+// LowestPriority returns the highest number that any route has as its priority.
+func (t *Table) LowestPriority() uint8 {
+	if t == nil {
+		return 0
+	}
+	return t.lowest
+}
+
 // IdleTimeout returns the age from which a silent flow may be forgotten, or zero
 // when no state is in force.
 func (t *Table) IdleTimeout() time.Duration {
