--- a/internal/flowproc/config.go
+++ b/internal/flowproc/config.go
@@ -42,6 +42,9 @@
 	CallerPort uint16
 	// Seeds are the peer addresses of members to contact first.
 	Seeds []netip.AddrPort
+	// FirstStart is set when the whole deployment starts for the first time, so that
+	// nothing can be learned of an earlier one. It saves calls and decides nothing.
+	FirstStart bool
 	// FlowLifetime is the age from which a flow may be forgotten.
 	FlowLifetime time.Duration
 	// Metrics is the TCP address that serves metrics; the zero address serves none.
--- a/internal/statesync/follower.go
+++ b/internal/statesync/follower.go
@@ -30,6 +30,9 @@
 	patienceJitter = 300 * time.Millisecond
 	// firstAgentDelay lets agents that have just started ask their peers first.
 	firstAgentDelay = 150 * time.Millisecond
+	// peerSilence is the silence of all others after which an agent without a state
+	// reads the store itself.
+	peerSilence = 500 * time.Millisecond
 	// retryMin and retryMax bound the pause after a failed read.
 	retryMin = 60 * time.Millisecond
 	retryMax = 600 * time.Millisecond
@@ -45,9 +48,13 @@
 	// at any process that was heard of.
 	confirmed time.Time
 	nextRead  time.Time
-	failures  int
-	reading   bool
-	jitter    time.Duration
+	// heard is when another process was heard last, and asked when the store was read
+	// last, or the start.
+	heard, asked time.Time
+	agent        bool
+	failures     int
+	reading      bool
+	jitter       time.Duration
 }
 
 // AgentRank is the rank of all agents.
@@ -56,7 +63,7 @@
 // NewFollower returns a follower that starts at time now without a state. The rank
 // is the place in the order of balancers, from zero, or AgentRank.
 func NewFollower(now time.Time, rank int, random *rand.Rand) *Follower {
-	f := &Follower{rand: random, nextRead: now, confirmed: now.Add(-time.Hour)}
+	f := &Follower{rand: random, nextRead: now, asked: now, agent: rank == AgentRank, confirmed: now.Add(-time.Hour)}
 	f.SetRank(rank, 0)
 	if rank == AgentRank {
 		f.nextRead = now.Add(firstAgentDelay)
@@ -98,10 +105,20 @@
 	if f.table != nil && f.Age(now) < f.patience+f.jitter {
 		return false
 	}
+	if f.table == nil && f.willBeTold(now) {
+		return false
+	}
 	f.reading = true
+	f.asked = now
 	return true
 }
 
+// willBeTold reports whether an agent without a state may leave the store to the
+// processes that it hears.
+func (f *Follower) willBeTold(now time.Time) bool {
+	return f.agent && now.Sub(f.heard) < peerSilence && now.Sub(f.asked) < agentPatience
+}
+
 // Read takes a state that the store returned to a read begun at time begun, and
 // reports whether it came into force.
 func (f *Follower) Read(begun time.Time, s route.State) bool {
@@ -137,6 +154,7 @@
 // Heard takes over what another process with the given version says of the age of
 // its last confirmation.
 func (f *Follower) Heard(now time.Time, version uint64, age time.Duration) {
+	f.heard = now
 	if version == f.table.Version() && version > 0 {
 		f.confirm(now.Add(-age))
 	}
--- a/internal/statesync/statesync_test.go
+++ b/internal/statesync/statesync_test.go
@@ -73,6 +73,25 @@
 	}
 }
 
+// At the start of a deployment every agent would otherwise ask the store again and
+// again until the first state is there.
+func TestAgentWithoutAStateLeavesTheStoreToOthers(t *testing.T) {
+	is := is.New(t)
+	f := newFollower(statesync.AgentRank)
+	now := start
+	reads := 0
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		f.Heard(now, 0, 0)
+		if f.ShouldRead(now) {
+			reads++
+			f.Failed(now)
+		}
+	}
+	is.True(reads >= 3 && reads <= 5)           // in ten seconds: it does not rely on them altogether
+	is.True(f.ShouldRead(now.Add(time.Second))) // nobody is heard any more
+}
+
 func TestPauseAfterFailuresIsBounded(t *testing.T) {
 	is := is.New(t)
 	f := newFollower(0)
