--- a/internal/flowproc/agent.go
+++ b/internal/flowproc/agent.go
@@ -144,6 +144,7 @@
 	a.memberChanged(now, a.node.Self())
 }
 
+// readBackend takes packets of the backend server until ctx ends.
 func (a *Agent) readBackend(ctx context.Context) error {
 	reader := a.fromBackend.NewReader()
 	for {
--- a/internal/flowproc/balancer.go
+++ b/internal/flowproc/balancer.go
@@ -115,6 +115,7 @@
 	}
 }
 
+// readCallers takes callers' packets until ctx ends.
 func (b *Balancer) readCallers(ctx context.Context) error {
 	reader := b.callers.NewReader()
 	for {
@@ -131,6 +132,8 @@
 	}
 }
 
+// handleCaller forwards or refuses a caller's packet, or keeps it while this balancer
+// does not know its way yet.
 func (b *Balancer) handleCaller(now time.Time, raw []byte) {
 	d := b.balancer.HandlePacket(now, raw, b.buffer)
 	if d.Outcome == flowbalancer.NotReady && !b.ready && len(b.early) < maxEarly && now.Sub(b.started) < settleTime {
@@ -151,6 +154,7 @@
 	b.logDecision(now, &d)
 }
 
+// logDecision writes a line about an opening packet.
 func (b *Balancer) logDecision(now time.Time, d *flowbalancer.Decision) {
 	switch d.Outcome {
 	case flowbalancer.Placed:
@@ -165,7 +169,7 @@
 	}
 }
 
-// reply sends a packet to a caller.
+// reply sends a packet to a caller. Its end of the flow makes up for a lost one.
 func (c *core) reply(caller flow.Endpoint, packet []byte) {
 	to := netip.AddrPortFrom(netip.AddrFrom4(caller.IP), c.cfg.CallerPort)
 	if err := c.peer.WriteTo(packet, to); err != nil {
@@ -228,6 +232,7 @@
 	return true
 }
 
+// anyWilling reports whether any agent of a service takes new flows.
 func (b *Balancer) anyWilling(service string) bool {
 	for _, m := range b.board.Agents(service) {
 		if m.Willing() {
@@ -248,7 +253,7 @@
 		return telemetry.NotReady("no desired state is in force", "check the platform's store and the seeds")
 	}
 	if b, ok := c.role.(*Balancer); ok && !b.ready {
-		return telemetry.NotReady("no willing agent is known for some service", "check the agents' logs")
+		return telemetry.NotReady("no agent answers, or some service has no willing one", "check the network of this instance and the agents' logs")
 	}
 	return nil
 }
