--- a/internal/flowproc/balancer.go
+++ b/internal/flowproc/balancer.go
@@ -38,6 +38,8 @@
 	balancer *flowbalancer.Balancer
 	buffer   []byte
 	ready    bool
+	// wasReady is set once this balancer has been ready.
+	wasReady bool
 	// early holds callers' packets that came before this balancer knew where to send them.
 	early []earlyPacket
 }
@@ -213,6 +215,10 @@
 	b.balancer.SetSettled((waited || b.ready) && useful)
 	if ready != b.ready {
 		b.ready = ready
+		if ready && !b.wasReady {
+			b.wasReady = true
+			b.metrics.readyTime.Update(now.Sub(b.started).Seconds())
+		}
 		b.log.event("readiness changed", fields{"ready": ready, "version": b.follower.Table().Version(), "since_start": now.Sub(b.started)})
 	}
 }
--- a/internal/flowproc/metrics.go
+++ b/internal/flowproc/metrics.go
@@ -26,6 +26,8 @@
 	// storeTime is the time of a read of the store, stateTime that from noticing a newer
 	// desired state to its being in force.
 	storeTime, stateTime *metrics.Histogram
+	// readyTime is the time from the start of a balancer to its first readiness.
+	readyTime *metrics.Histogram
 	// hops is the number of agents that passed a packet before it was delivered.
 	hops *metrics.Histogram
 }
@@ -45,6 +47,7 @@
 		answerTime:   set.NewHistogram("almondledge_flow_answer_seconds"),
 		storeTime:    set.NewHistogram("almondledge_store_read_seconds"),
 		stateTime:    set.NewHistogram("almondledge_state_fetch_seconds"),
+		readyTime:    set.NewHistogram("almondledge_ready_after_start_seconds"),
 		hops:         set.NewHistogram("almondledge_packet_hops"),
 	}
 	set.NewGauge("almondledge_state_version", func() float64 { return float64(c.table().Version()) })
