Log lines written after the end are lost, not a panic

Cause (reading pass): a goroutine that logs while the process exits would have sent on a closed channel; the test panics with the code before. Change: the writer is told to end by a channel of its own.

--- a/internal/logring/logring.go
+++ b/internal/logring/logring.go
@@ -21,13 +21,14 @@
 type Writer struct {
 	lines   chan []byte
 	dropped atomic.Uint64
-	done    chan struct{}
-	once    sync.Once
+	// closing is closed to end the goroutine, which closes done.
+	closing, done chan struct{}
+	once          sync.Once
 }
 
 // New returns a writer that writes lines to w from a goroutine of its own, until Close.
 func New(w io.Writer) *Writer {
-	r := &Writer{lines: make(chan []byte, capacity), done: make(chan struct{})}
+	r := &Writer{lines: make(chan []byte, capacity), closing: make(chan struct{}), done: make(chan struct{})}
 	go r.run(w)
 	return r
 }
@@ -35,9 +36,12 @@
 func (r *Writer) run(w io.Writer) {
 	defer close(r.done)
 	var reported uint64
-	for line := range r.lines {
-		_, err := w.Write(line)
-		if err != nil {
+	for {
+		line, ok := r.next()
+		if !ok {
+			return
+		}
+		if _, err := w.Write(line); err != nil {
 			r.dropped.Add(1)
 			continue
 		}
@@ -49,6 +53,21 @@
 	}
 }
 
+// next returns the next line, or false when the writer is closing and none is left.
+func (r *Writer) next() ([]byte, bool) {
+	select {
+	case line := <-r.lines:
+		return line, true
+	default:
+	}
+	select {
+	case line := <-r.lines:
+		return line, true
+	case <-r.closing:
+		return nil, false
+	}
+}
+
 // Write queues a copy of line, or drops it when the buffer is full.
 func (r *Writer) Write(line []byte) (int, error) {
 	select {
@@ -65,9 +84,9 @@
 // Dropped returns the number of lines dropped so far.
 func (r *Writer) Dropped() uint64 { return r.dropped.Load() }
 
-// Close writes what is buffered, for at most limit. Nothing may be written after it.
+// Close writes what is buffered, for at most limit. Lines written after it are lost.
 func (r *Writer) Close(limit time.Duration) {
-	r.once.Do(func() { close(r.lines) })
+	r.once.Do(func() { close(r.closing) })
 	select {
 	case <-r.done:
 	case <-time.After(limit):
--- a/internal/logring/logring_test.go
+++ b/internal/logring/logring_test.go
@@ -43,6 +43,19 @@
 	})
 }
 
+// A goroutine that ends last may still log while the process exits.
+func TestLinesAfterCloseAreLost(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	ring := logring.New(&out)
+	_, err := ring.Write([]byte("before\n"))
+	is.NoErr(err)
+	ring.Close(time.Second)
+	_, err = ring.Write([]byte("after\n"))
+	is.NoErr(err)
+	is.Equal(out.String(), "before\n")
+}
+
 func TestCloseDoesNotWaitForever(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
