--- a/cmd/lab/soak.go
+++ b/cmd/lab/soak.go
@@ -24,16 +24,32 @@
 	Balancers   int           `default:"3" help:"Number of balancers."`
 	Agents      int           `default:"6" help:"Number of agents."`
 	Callers     int           `default:"20" help:"Number of callers."`
+	Failed      bool          `help:"Play the seeds that have failed once, in place of a range."`
 	PlannedOnly bool          `help:"Play work of operators only."`
 	Quiet       bool          `help:"Print no line for each fault."`
 }
 
+// seeds returns the seeds to play.
+func (c soakCmd) seeds() []uint64 {
+	var seeds []uint64
+	if c.Failed {
+		for _, failed := range soak.FailedSeeds {
+			seeds = append(seeds, failed.Seed)
+		}
+		return seeds
+	}
+	for i := range c.Seeds {
+		seeds = append(seeds, c.Seed+uint64(i))
+	}
+	return seeds
+}
+
 // Run plays the seeds and fails if a promise was broken.
 func (c soakCmd) Run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	broken := 0
-	for seed := c.Seed; seed < c.Seed+uint64(c.Seeds) && ctx.Err() == nil; seed++ {
+	for _, seed := range c.seeds() {
 		dir := filepath.Join(c.Dir, fmt.Sprint(seed))
 		if err := os.MkdirAll(dir, 0o700); err != nil {
 			return err
