Metrics: store calls by kind and outcome, bytes by type, tables beside their bounds

Cause: an engineer could see that calls of the platform's store failed, but not which (the roster's calls were not counted at all); bytes between processes were one counter, so that gossip and callers' data could not be told apart; tables were exported without their limits.

--- a/internal/flowagent/flowagent.go
+++ b/internal/flowagent/flowagent.go
@@ -191,11 +191,25 @@
 	return fleet.Load{Flows: uint16(min(a.flows.Open(), 65535)), Active: uint16(min(a.flows.Active(), 65535))}
 }
 
-// Flows returns the number of remembered flows, and Claims that of other agents' flows.
+// Flows returns the number of remembered flows.
 func (a *Agent) Flows() int { return a.flows.Len() }
 
-// Claims returns the number of other agents' flows that this agent keeps track of.
-func (a *Agent) Claims() int { return a.claims.Len() }
+// Table is a table of an agent: when it is full, the entry used longest ago makes room.
+type Table struct {
+	Name    string
+	Entries func() int
+	Limit   int
+}
+
+// Tables returns the tables of the agent, for metrics.
+func (a *Agent) Tables() []Table {
+	return []Table{
+		{"flows", a.Flows, flowTableSize},
+		{"claims", a.claims.Len, claimTableSize},
+		{"foreign", a.foreign.Len, foreignTableSize},
+		{"searches", a.searches.Len, searchTableSize},
+	}
+}
 
 // SetBackend takes over a new state of the backend server. If another one has
 // started, or it is gone, the callers of its flows are told at once.
--- a/internal/flowproc/agent.go
+++ b/internal/flowproc/agent.go
@@ -57,17 +57,11 @@
 }
 
 func (a *Agent) registerGauges() {
-	gauge := func(name string, value func() int) {
-		a.metrics.telemetry.Set().NewGauge(name, func() float64 {
-			a.mu.Lock()
-			defer a.mu.Unlock()
-			return float64(value())
-		})
-	}
-	gauge("almondledge_flows", a.agent.Flows)
-	gauge("almondledge_claims", a.agent.Claims)
-	gauge("almondledge_open_flows", func() int { return int(a.agent.Load().Flows) })
-	gauge("almondledge_active_requests", func() int { return int(a.agent.Load().Active) })
+	for _, t := range a.agent.Tables() {
+		a.addTable(t.Name, t.Entries, t.Limit)
+	}
+	a.addGauge("almondledge_open_flows", func() int { return int(a.agent.Load().Flows) })
+	a.addGauge("almondledge_active_requests", func() int { return int(a.agent.Load().Active) })
 }
 
 // Run passes packets until ctx ends, or until shortly after drain ends.
--- a/internal/flowproc/balancer.go
+++ b/internal/flowproc/balancer.go
@@ -70,11 +70,8 @@
 	b.role = b
 	b.metrics.setOutcomes(flowbalancer.Outcomes[:])
 	b.balancer = flowbalancer.New(cfg.Peer, opt.Codec, b.board, ownerTableSize)
-	b.metrics.telemetry.Set().NewGauge("almondledge_owners", func() float64 {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		return float64(b.balancer.Flows())
-	})
+	b.addTable("owners", b.balancer.Flows, ownerTableSize)
+	b.addTable("early_packets", func() int { return len(b.early) }, maxEarly)
 	b.callers, err = opt.Network.ListenUDP(cfg.Callers)
 	return b, err
 }
--- /dev/null
+++ b/internal/flowproc/calls.go
@@ -0,0 +1,102 @@
+package flowproc
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/roster"
+	"github.com/almondledge/almondledge/internal/route"
+	"github.com/almondledge/almondledge/internal/store"
+)
+
+// Outcomes of calls beside the kinds of package errkind.
+const (
+	outcomeOK = "ok"
+	// outcomeFailed is that of an error without a kind.
+	outcomeFailed = "failed"
+)
+
+// storeCalls counts calls of the platform's store by kind and outcome, and measures
+// their times. Both sets of names are fixed, so the number of series is bounded.
+type storeCalls struct {
+	set *metrics.Set
+}
+
+func (s storeCalls) done(op string, begun time.Time, err error) {
+	outcome := outcomeOK
+	if err != nil {
+		outcome = cmp.Or(string(errkind.Of(err)), outcomeFailed)
+	}
+	s.set.GetOrCreateCounter(fmt.Sprintf("almondledge_store_calls_total{op=%q,outcome=%q}", op, outcome)).Inc()
+	s.set.GetOrCreateHistogram(fmt.Sprintf("almondledge_store_call_seconds{op=%q}", op)).Update(time.Since(begun).Seconds())
+}
+
+// countedStates is a StateSource whose calls are counted.
+type countedStates struct {
+	StateSource
+	calls storeCalls
+}
+
+func (s countedStates) ReadState(ctx context.Context) (route.State, int64, error) {
+	begun := time.Now()
+	state, revision, err := s.StateSource.ReadState(ctx)
+	s.calls.done("read_state", begun, err)
+	return state, revision, err
+}
+
+func (s countedStates) ReadChange(ctx context.Context, after int64) (route.State, int64, error) {
+	begun := time.Now()
+	state, revision, err := s.StateSource.ReadChange(ctx, after)
+	s.calls.done("read_change", begun, err)
+	return state, revision, err
+}
+
+// countedRoster is a roster's store whose calls are counted.
+type countedRoster struct {
+	roster.Store
+	calls storeCalls
+}
+
+func (s countedRoster) Range(ctx context.Context, prefix string) (store.Snapshot, error) {
+	begun := time.Now()
+	snapshot, err := s.Store.Range(ctx, prefix)
+	s.calls.done("range", begun, err)
+	return snapshot, err
+}
+
+func (s countedRoster) Commit(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
+	begun := time.Now()
+	result, err := s.Store.Commit(ctx, txn)
+	failure := err
+	if err == nil && !result.Succeeded {
+		failure = errkind.New(errkind.Conflict, "a condition of the change did not hold", "none needed")
+	}
+	s.calls.done("commit", begun, failure)
+	return result, err
+}
+
+func (s countedRoster) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	begun := time.Now()
+	id, err := s.Store.Grant(ctx, ttl)
+	s.calls.done("grant", begun, err)
+	return id, err
+}
+
+func (s countedRoster) KeepAlive(ctx context.Context, id store.LeaseID) error {
+	begun := time.Now()
+	err := s.Store.KeepAlive(ctx, id)
+	s.calls.done("keep_alive", begun, err)
+	return err
+}
+
+func (s countedRoster) Revoke(ctx context.Context, id store.LeaseID) error {
+	begun := time.Now()
+	err := s.Store.Revoke(ctx, id)
+	s.calls.done("revoke", begun, err)
+	return err
+}
--- a/internal/flowproc/core.go
+++ b/internal/flowproc/core.go
@@ -92,6 +92,7 @@
 		Load: func() fleet.Load { return fleet.Load{} },
 	})
 	c.metrics = newCounters(c)
+	c.countStoreCalls()
 	var err error
 	if c.peer, err = opt.Network.ListenUDP(cfg.Peer); err != nil {
 		return nil, err
@@ -102,6 +103,15 @@
 	return c, nil
 }
 
+// countStoreCalls lets all calls of the platform's store be counted.
+func (c *core) countStoreCalls() {
+	calls := storeCalls{set: c.metrics.telemetry.Set()}
+	c.opt.States = countedStates{StateSource: c.opt.States, calls: calls}
+	if c.opt.Roster != nil {
+		c.opt.Roster = countedRoster{Store: c.opt.Roster, calls: calls}
+	}
+}
+
 // start adds the goroutines of the core to group; they end with ctx.
 func (c *core) start(ctx context.Context, group *errgroup.Group) {
 	closeAtEnd(ctx, c.peer)
@@ -178,7 +188,7 @@
 // send writes one datagram to another member. What is lost is made up for by
 // retransmissions of the flow or by later messages, so a failure is only counted.
 func (c *core) send(to netip.AddrPort, datagram []byte) {
-	c.metrics.peerBytes.Add(len(datagram))
+	c.metrics.peerBytes[datagram[0]].Add(len(datagram))
 	if err := c.peer.WriteTo(datagram, to); err != nil {
 		c.metrics.sendErrors.Inc()
 	}
--- a/internal/flowproc/deployment_test.go
+++ b/internal/flowproc/deployment_test.go
@@ -27,6 +27,7 @@
 	callerPort  = 7001
 	backendPort = 7002
 	outPort     = 7003
+	metricsPort = 7004
 )
 
 // service and front of all flows.
@@ -175,7 +176,7 @@
 	return flowproc.Common{
 		Name: addr.String(), DataCentre: "dc1", Peer: netip.AddrPortFrom(addr, peerPort), CallerPort: callerPort,
 		Seeds:        []netip.AddrPort{netip.AddrPortFrom(balancerAddr(0), peerPort), netip.AddrPortFrom(balancerAddr(1), peerPort)},
-		FlowLifetime: time.Minute,
+		FlowLifetime: time.Minute, Metrics: netip.AddrPortFrom(addr, metricsPort),
 	}
 }
 
--- a/internal/flowproc/metrics.go
+++ b/internal/flowproc/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/almondledge/almondledge/internal/fleet"
+	"github.com/almondledge/almondledge/internal/hop"
 	"github.com/almondledge/almondledge/internal/telemetry"
 )
 
@@ -17,15 +18,15 @@
 type counters struct {
 	telemetry *telemetry.Process
 
-	peerBytes, sendErrors, badDatagrams *metrics.Counter
-	storeReads, storeErrors             *metrics.Counter
-	fetchErrors, stateChanges           *metrics.Counter
-	outcomes                            []*metrics.Counter
+	// peerBytes counts the bytes sent to other members by the type of the datagram.
+	peerBytes                 [hop.TypeMembership + 1]*metrics.Counter
+	sendErrors, badDatagrams  *metrics.Counter
+	fetchErrors, stateChanges *metrics.Counter
+	outcomes                  []*metrics.Counter
 	// answerTime is the time from an opening packet to the backend server's answer.
 	answerTime *metrics.Histogram
-	// storeTime is the time of a read of the store, stateTime that from noticing a newer
-	// desired state to its being in force.
-	storeTime, stateTime *metrics.Histogram
+	// stateTime is the time from noticing a newer desired state to its being in force.
+	stateTime *metrics.Histogram
 	// readyTime is the time from the start of a balancer to its first readiness.
 	readyTime *metrics.Histogram
 	// hops is the number of agents that passed a packet before it was delivered.
@@ -37,19 +38,18 @@
 	set := process.Set()
 	m := &counters{
 		telemetry:    process,
-		peerBytes:    set.NewCounter("almondledge_peer_sent_bytes_total"),
 		sendErrors:   set.NewCounter("almondledge_send_errors_total"),
 		badDatagrams: set.NewCounter("almondledge_bad_datagrams_total"),
-		storeReads:   set.NewCounter(`almondledge_store_reads_total{outcome="ok"}`),
-		storeErrors:  set.NewCounter(`almondledge_store_reads_total{outcome="failed"}`),
 		fetchErrors:  set.NewCounter("almondledge_state_fetch_errors_total"),
 		stateChanges: set.NewCounter("almondledge_state_changes_total"),
 		answerTime:   set.NewHistogram("almondledge_flow_answer_seconds"),
-		storeTime:    set.NewHistogram("almondledge_store_read_seconds"),
 		stateTime:    set.NewHistogram("almondledge_state_fetch_seconds"),
 		readyTime:    set.NewHistogram("almondledge_ready_after_start_seconds"),
 		hops:         set.NewHistogram("almondledge_packet_hops"),
 	}
+	for _, t := range hop.Types() {
+		m.peerBytes[t] = set.NewCounter(`almondledge_peer_sent_bytes_total{type="` + t.String() + `"}`)
+	}
 	set.NewGauge("almondledge_state_version", func() float64 { return float64(c.table().Version()) })
 	set.NewGauge("almondledge_state_age_seconds", func() float64 {
 		c.mu.Lock()
@@ -69,6 +69,23 @@
 	return m
 }
 
+// addGauge registers a value that the lock mu of core guards.
+func (c *core) addGauge(name string, value func() int) {
+	c.metrics.telemetry.Set().NewGauge(name, func() float64 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return float64(value())
+	})
+}
+
+// addTable registers the size of a table, which the lock mu of core guards, and the
+// bound of that size.
+func (c *core) addTable(name string, size func() int, limit int) {
+	set := c.metrics.telemetry.Set()
+	c.addGauge(`almondledge_table_entries{table="`+name+`"}`, size)
+	set.NewGauge(`almondledge_table_limit{table="`+name+`"}`, func() float64 { return float64(limit) })
+}
+
 // setOutcomes registers one counter for each outcome of a packet.
 func (m *counters) setOutcomes(names []string) {
 	for _, name := range names {
--- a/internal/flowproc/state.go
+++ b/internal/flowproc/state.go
@@ -38,8 +38,6 @@
 		c.storeFailed(err)
 		return
 	}
-	c.metrics.storeReads.Inc()
-	c.metrics.storeTime.Update(time.Since(begun).Seconds())
 	if c.storeDown {
 		c.storeDown = false
 		c.log.event("platform's store answers again", fields{"revision": revision})
@@ -75,7 +73,6 @@
 // storeFailed follows a failed call of the store.
 func (c *core) storeFailed(err error) {
 	now := time.Now()
-	c.metrics.storeErrors.Inc()
 	c.follower.Failed(now)
 	if !c.storeDown {
 		c.storeDown = true
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -31,6 +31,20 @@
 	TypeMembership
 )
 
+// typeNames are the types as metrics show them.
+var typeNames = map[Type]string{
+	TypeForward: "packet", TypeNotice: "notice", TypeClaim: "claim",
+	TypeQuery: "query", TypeAnswer: "answer", TypeMembership: "membership",
+}
+
+// Types returns all types of datagram.
+func Types() []Type {
+	return []Type{TypeForward, TypeNotice, TypeClaim, TypeQuery, TypeAnswer, TypeMembership}
+}
+
+// String returns the type as metrics show it.
+func (t Type) String() string { return typeNames[t] }
+
 // MaxVisited bounds the agents that one packet may pass.
 const MaxVisited = 24
 
