One package ranks members for a subject

Cause: presence, opening, routing and replypath each hashed addresses and scored members in a way of their own, with two mixing functions and three hashes of an address; placement and flowagent had a fourth and fifth.

Change: package rendezvous with Score and Weighted, used by all of them. Opening and replypath compare unweighted scores; routing keeps weights.

Ruled out: keeping agents' hashes in routing's table to save hashing them for each opening packet. Tried: tables built as bare literals had none and panicked; the gain is not worth a hidden invariant.

--- a/internal/flowagent/claim.go
+++ b/internal/flowagent/claim.go
@@ -8,6 +8,7 @@
 	"github.com/almondledge/almondledge/internal/flowtable"
 	"github.com/almondledge/almondledge/internal/hop"
 	"github.com/almondledge/almondledge/internal/placement"
+	"github.com/almondledge/almondledge/internal/rendezvous"
 )
 
 // HandleClaim notes that another agent has some flows.
@@ -58,16 +59,11 @@
 	return sends
 }
 
-// homesHash folds a set of homes into a number that changes with it (FNV-1a).
+// homesHash folds a set of homes into a number that changes with it.
 func homesHash(homes []netip.AddrPort) uint32 {
-	const offset, prime = 2166136261, 16777619
-	hash := uint32(offset)
+	var hash rendezvous.Hash
 	for _, home := range homes {
-		ip := home.Addr().As4()
-		for _, b := range ip {
-			hash = (hash ^ uint32(b)) * prime
-		}
-		hash = (hash ^ uint32(home.Port())) * prime
+		hash += rendezvous.OfAddr(home)
 	}
-	return hash
+	return uint32(hash)
 }
--- a/internal/opening/opening.go
+++ b/internal/opening/opening.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/almondledge/almondledge/internal/rendezvous"
 	"github.com/almondledge/almondledge/internal/routing"
 )
 
@@ -215,7 +216,7 @@
 // rank orders two agents by their score for a flow; all agents agree on it.
 func (t *Table) rank(destID []byte, a, b netip.AddrPort) (winner, loser netip.AddrPort) {
 	hash := routing.FlowHash(rankSeed, destID)
-	if routing.Score(hash, a, 1) >= routing.Score(hash, b, 1) {
+	if rendezvous.Score(hash, rendezvous.OfAddr(a)) >= rendezvous.Score(hash, rendezvous.OfAddr(b)) {
 		return a, b
 	}
 	return b, a
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -1,12 +1,12 @@
 package placement
 
-import "github.com/cespare/xxhash/v2"
+import "github.com/almondledge/almondledge/internal/rendezvous"
 
 // ServiceHash names a service in messages between processes. It guards against
 // processes that disagree, so a collision costs a hop and breaks nothing: agents
 // check names against their own desired state as well.
 func ServiceHash(name string) uint32 {
-	return uint32(xxhash.Sum64String(name))
+	return uint32(rendezvous.OfName(name))
 }
 
 // ServiceByHash returns the name of a service that some agent serves, or "".
--- a/internal/presence/digest.go
+++ b/internal/presence/digest.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/almondledge/almondledge/internal/member"
+	"github.com/almondledge/almondledge/internal/rendezvous"
 )
 
 // Buckets is the number of parts into which a table is cut for repair.
@@ -15,7 +16,7 @@
 
 // BucketOf returns the bucket that addr belongs to.
 func BucketOf(addr netip.AddrPort) uint8 {
-	return uint8(HashAddr(addr))
+	return uint8(rendezvous.OfAddr(addr))
 }
 
 // Sums returns one checksum for each bucket. Dead members do not count, because
@@ -39,7 +40,7 @@
 		return
 	}
 	var key [17]byte
-	binary.LittleEndian.PutUint64(key[:], r.hash)
+	binary.LittleEndian.PutUint64(key[:], uint64(r.hash))
 	binary.LittleEndian.PutUint64(key[8:], r.Incarnation)
 	key[16] = byte(r.State)
 	t.sums[uint8(r.hash)] ^= uint32(xxhash.Sum64(key[:]))
--- a/internal/presence/table.go
+++ b/internal/presence/table.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/almondledge/almondledge/internal/member"
+	"github.com/almondledge/almondledge/internal/rendezvous"
 	"github.com/almondledge/almondledge/internal/service"
 )
 
@@ -16,8 +17,8 @@
 	// failedAt is when the member became suspect or dead without having
 	// announced its end; zero for all others.
 	failedAt time.Time
-	// hash is HashAddr of the address.
-	hash uint64
+	// hash is that of the address.
+	hash rendezvous.Hash
 	// index is the position in the group's list.
 	index int
 }
@@ -114,7 +115,7 @@
 	if known {
 		t.remove(old)
 	}
-	r := &Record{Member: m, Since: now, hash: HashAddr(m.Addr)}
+	r := &Record{Member: m, Since: now, hash: rendezvous.OfAddr(m.Addr)}
 	r.failedAt = failureTime(now, m, old)
 	t.insert(r)
 	if known {
@@ -136,7 +137,7 @@
 	if m.State != member.Dead || t.records[m.Addr] != nil {
 		return
 	}
-	t.insert(&Record{Member: m, Since: now, hash: HashAddr(m.Addr)})
+	t.insert(&Record{Member: m, Since: now, hash: rendezvous.OfAddr(m.Addr)})
 	t.dead = append(t.dead, deadEntry{m.Addr, m.Incarnation, now})
 }
 
--- a/internal/replypath/replypath.go
+++ b/internal/replypath/replypath.go
@@ -12,9 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
-	"github.com/almondledge/almondledge/internal/routing"
+	"github.com/almondledge/almondledge/internal/rendezvous"
 )
 
 const (
@@ -25,8 +23,6 @@
 	silentTime = 100 * time.Millisecond
 	// maxHeard bounds the balancers that are watched.
 	maxHeard = 8192
-	// equalWeight is the weight of every balancer.
-	equalWeight = 1
 )
 
 // Chooser chooses balancers. It is safe for concurrent use; its only lock is
@@ -83,14 +79,13 @@
 	if len(targets) == 0 {
 		return netip.AddrPort{}, false
 	}
-	octets := caller.Addr().As16()
-	flow := xxhash.Sum64(octets[:]) + uint64(caller.Port()) + c.stalls.shift(caller)
+	flow := rendezvous.OfAddr(caller) + rendezvous.Hash(c.stalls.shift(caller))
 	var best netip.AddrPort
-	var bestScore float64
+	var bestScore uint64
 	bestSilent := true
 	for _, target := range targets {
 		silent := c.silent(target, now)
-		score := routing.Score(flow, target, equalWeight)
+		score := rendezvous.Score(flow, rendezvous.OfAddr(target))
 		better := !best.IsValid() || silent == bestSilent && score > bestScore || bestSilent && !silent
 		if better {
 			best, bestScore, bestSilent = target, score, silent
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/almondledge/almondledge/internal/connid"
+	"github.com/almondledge/almondledge/internal/rendezvous"
 	"github.com/almondledge/almondledge/internal/service"
 )
 
@@ -126,8 +127,8 @@
 	after := Service{Agents: agents(1, 7)}
 	var first, second [MaxCandidates]netip.AddrPort
 	for flow := range uint64(10_000) {
-		before.Candidates(flow*0x9e3779b97f4a7c15, &first)
-		after.Candidates(flow*0x9e3779b97f4a7c15, &second)
+		before.Candidates(rendezvous.Hash(flow*0x9e3779b97f4a7c15), &first)
+		after.Candidates(rendezvous.Hash(flow*0x9e3779b97f4a7c15), &second)
 		if first[0] == agentAddr(0) {
 			is.Equal(second[0], first[1]) // the next candidate inherits the flow
 			continue
@@ -142,7 +143,7 @@
 	counts := make(map[netip.AddrPort]int)
 	const flows = 60_000
 	for flow := range uint64(flows) {
-		target.Candidates(flow*0x9e3779b97f4a7c15, &chosen)
+		target.Candidates(rendezvous.Hash(flow*0x9e3779b97f4a7c15), &chosen)
 		counts[chosen[0]]++
 	}
 	if counts[agentAddr(2)] != 0 {
@@ -192,7 +193,7 @@
 		b.Run(fmt.Sprintf("agents=%d", n), func(b *testing.B) {
 			target := Service{Agents: agents(0, n)}
 			var chosen [MaxCandidates]netip.AddrPort
-			flow := uint64(0)
+			flow := rendezvous.Hash(0)
 			for b.Loop() {
 				flow += 0x9e3779b97f4a7c15
 				target.Candidates(flow, &chosen)
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"sync/atomic"
 
+	"github.com/almondledge/almondledge/internal/rendezvous"
 	"github.com/almondledge/almondledge/internal/service"
 )
 
@@ -111,11 +112,11 @@
 
 // Candidates stores the best agents for a flow in chosen, best first, and
 // returns how many there are.
-func (s *Service) Candidates(flow uint64, chosen *[MaxCandidates]netip.AddrPort) int {
+func (s *Service) Candidates(flow rendezvous.Hash, chosen *[MaxCandidates]netip.AddrPort) int {
 	var scores [MaxCandidates]float64
 	count := 0
 	for _, agent := range s.Agents {
-		score := Score(flow, agent.Addr, agent.Weight)
+		score := rendezvous.Weighted(flow, rendezvous.OfAddr(agent.Addr), agent.Weight)
 		at := count
 		for at > 0 && score > scores[at-1] {
 			at--
