Lost flows end sooner after a loss of everything

Cause: a flow's home waited 0.4 s after its start, and 0.2 s after the last new agent, before it told callers that nobody had their flows, and then up to 0.15 s more for a question that it asked anew. These times are for agents that are late and whose backend servers live on; after a loss of everything none does.

Change: when this process and all backend servers that it knows started together, 0.15 s and 0.06 s suffice; and a search ends as soon as the agents are known, if all that are known have answered.

--- a/internal/flowagent/flowagent_test.go
+++ b/internal/flowagent/flowagent_test.go
@@ -321,6 +321,41 @@
 	is.True(c.Reset) // without another packet of the caller
 }
 
+// After a loss of everything, callers learn soon that their flows are gone, since no
+// backend server can have them. While one may, the search takes its time.
+func TestFlowsLostWithEverythingEndSoon(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(*world)
+		reset  bool
+	}{
+		{"all backend servers are new", func(*world) {}, true},
+		{"one backend server has lived on", func(w *world) {
+			w.places[3].member.Backend.Born = w.now.Add(-time.Minute).UnixMilli()
+			w.places[3].sawStart = false
+			w.restart(w.places[3])
+		}, false},
+		{"nothing is known of one backend server", func(w *world) {
+			w.places[3].member.Backend.Born = 0
+			w.restart(w.places[3])
+		}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, 4)
+			c, _ := w.open(1000)
+			w.loseAll()
+			test.change(w)
+			w.share()
+			w.fromCaller(c.Request("again"))
+			w.pass(160 * time.Millisecond)
+			is.Equal(c.Reset, test.reset)
+			w.pass(440 * time.Millisecond)
+			is.True(c.Reset)
+		})
+	}
+}
+
 func TestTwoAnswersToCopiesOfOneOpeningPacket(t *testing.T) {
 	for port := uint16(1000); port < 1010; port++ { // either of the two is a flow's home
 		is := is.New(t)
--- a/internal/flowagent/search.go
+++ b/internal/flowagent/search.go
@@ -194,11 +194,14 @@
 	for _, key := range a.searches.Keys() {
 		s, ok := a.searches.Peek(key)
 		switch {
-		case !ok || now.Sub(s.asked) < searchTime:
+		case !ok:
 		case !s.ended.IsZero():
 			if now.Sub(s.ended) >= repeatTime {
 				a.searches.Remove(key)
 			}
+		case len(s.waiting) == 0 && s.asked.After(a.cfg.Board.LastNew()) && a.cfg.Board.IsSettled(now):
+			decisions = append(decisions, a.conclude(now, Decision{Key: key}, s))
+		case now.Sub(s.asked) < searchTime:
 		case now.Sub(a.started) < startTime+2*searchTime:
 			decisions = append(decisions, a.ask(now, Decision{Key: key}, s))
 		default:
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -64,6 +64,8 @@
 	// flows, those that are believed to answer, and those that have gone without a word.
 	// The last may be back, and their backend servers may hold flows meanwhile.
 	askable, answering, doubtful int
+	// old counts the askable agents whose backend servers started long before this process.
+	old int
 	// lastNew is when an agent was first seen.
 	lastNew time.Time
 	started time.Time
--- a/internal/placement/members.go
+++ b/internal/placement/members.go
@@ -15,6 +15,16 @@
 	startTime  = 400 * time.Millisecond
 )
 
+// After a loss of everything no backend server has flows from before, so an agent
+// that has not appeared yet cannot have one that is asked for. These times suffice then.
+const (
+	freshSettleTime = 60 * time.Millisecond
+	freshStartTime  = 150 * time.Millisecond
+	// freshAge is how long before this process a backend server may have started to
+	// count as new. It covers clocks of instances that differ.
+	freshAge = 3 * time.Second
+)
+
 // Apply takes over new statements about members. Homes follow with the next Settle.
 func (b *Board) Apply(now time.Time, members ...fleet.Member) {
 	for i := range members {
@@ -71,6 +81,12 @@
 	return m.Role == fleet.Agent && m.Liveness >= fleet.Suspect && m.Backend.State != fleet.BackendGone
 }
 
+// isOld reports whether a member is an agent whose backend server may have flows from
+// long before this process started.
+func (b *Board) isOld(m *fleet.Member) bool {
+	return isAskable(m) && m.Backend.Born < b.started.Add(-freshAge).UnixMilli()
+}
+
 // isHome reports whether a member keeps track of flows. An agent that leaves does
 // not: its successors are told of its flows while it still answers.
 func isHome(m *fleet.Member) bool {
@@ -85,6 +101,9 @@
 	if isDoubtful(m) {
 		b.doubtful += step
 	}
+	if b.isOld(m) {
+		b.old += step
+	}
 	if m.Role == fleet.Agent && m.Liveness == fleet.Alive {
 		b.answering += step
 	}
@@ -117,9 +136,22 @@
 // IsSettled reports whether the agents that are known are certainly all that may
 // have flows: none has gone without a word, and no new one has appeared for a while.
 func (b *Board) IsSettled(now time.Time) bool {
-	return b.doubtful == 0 && now.Sub(b.started) >= startTime && now.Sub(b.lastNew) >= settleTime
+	start, settle := startTime, settleTime
+	if b.isFresh(now) {
+		start, settle = freshStartTime, freshSettleTime
+	}
+	return b.doubtful == 0 && now.Sub(b.started) >= start && now.Sub(b.lastNew) >= settle
 }
 
+// isFresh reports whether this process and all backend servers that it knows have
+// started together and not long ago.
+func (b *Board) isFresh(now time.Time) bool {
+	return b.askable > 0 && b.old == 0 && now.Sub(b.started) < freshAge
+}
+
+// LastNew returns when an agent was first seen.
+func (b *Board) LastNew() time.Time { return b.lastNew }
+
 // AnyAnswering reports whether any agent is believed to answer.
 func (b *Board) AnyAnswering() bool { return b.answering > 0 }
 
