lab outage: a bound of what callers get while all machines are lost

Traces alone did not tell what the outage and the callers' own clocks cost and what the system does.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -22,6 +22,7 @@
 	Slopes   slopesCmd   `cmd:"" help:"Measure how control grows with the number of nodes."`
 	Spread   spreadCmd   `cmd:"" help:"Compare policies that spread work over backend servers."`
 	Soak     soakCmd     `cmd:"" help:"Play random faults against real processes on the users' platform stand-in."`
+	Outage   outageCmd   `cmd:"" help:"Bound what callers can get while all machines are lost."`
 	State    stateCmd    `cmd:"" help:"Measure what one balancer holds at the design size."`
 }
 
--- /dev/null
+++ b/cmd/lab/outage.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+
+	"github.com/almondledge/almondledge/internal/lab/outage"
+)
+
+// shownWindows is the number of windows from the loss on that are printed.
+const shownWindows = 4
+
+// outageCmd bounds what callers can get when all machines are lost for some time.
+type outageCmd struct {
+	File string `arg:"" help:"JSON file with the kinds of request and the outages." type:"existingfile"`
+}
+
+// Run prints the bound of each window, and the mean of the two lowest.
+func (c outageCmd) Run() error {
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	var input outage.Input
+	if err := json.Unmarshal(text, &input); err != nil {
+		return err
+	}
+	if err := input.Check(); err != nil {
+		return err
+	}
+	for _, o := range input.Outages {
+		windows := o.Windows(input.Kinds, shownWindows)
+		fmt.Printf("%-38s", o.Name)
+		for _, share := range windows {
+			fmt.Printf(" %.3f", share)
+		}
+		slices.Sort(windows)
+		fmt.Printf("  mean of the two lowest %.3f\n", (windows[0]+windows[1])/2)
+	}
+	return nil
+}
