Joining costs one datagram a member

Cause: a process that joins learned of all members from tables and passed each one on to three others at once, though all of them knew: 3 datagrams a member and process, at the moment when all processes start together.

Change: statements from tables travel on with later messages only; the joining process sends its own statement once to each member that it learns of, to 96 at most.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -44,6 +44,9 @@
 	indirectProbes = 2
 	// newsFanout is the number of members that a change is passed on to at once.
 	newsFanout = 3
+	// maxGreetings bounds the members to which a process that joins makes itself known;
+	// the others hear of it as news.
+	maxGreetings = 96
 	// localShare is the share of probes and of news that stays in the own data centre.
 	localShare = 0.7
 	// doublingsPerRepeat bounds how often a change is passed on in probes: once more for
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -22,9 +22,11 @@
 	down map[netip.AddrPort]bool
 	cut  func(from, to netip.AddrPort) bool
 	// loss is the share of datagrams that are lost.
-	loss   float64
-	queue  []parcel
-	sent   int
+	loss  float64
+	queue []parcel
+	sent  int
+	// sentBy counts the datagrams of each node.
+	sentBy map[netip.AddrPort]int
 	bytes  int
 	events []fleet.Event
 }
@@ -36,11 +38,12 @@
 
 func newMesh(count int) *mesh {
 	m := &mesh{
-		now:   time.Unix(2_000_000_000, 0),
-		rand:  rand.New(rand.NewPCG(7, 7)),
-		nodes: map[netip.AddrPort]*fleet.Node{},
-		down:  map[netip.AddrPort]bool{},
-		cut:   func(_, _ netip.AddrPort) bool { return false },
+		now:    time.Unix(2_000_000_000, 0),
+		rand:   rand.New(rand.NewPCG(7, 7)),
+		nodes:  map[netip.AddrPort]*fleet.Node{},
+		down:   map[netip.AddrPort]bool{},
+		sentBy: map[netip.AddrPort]int{},
+		cut:    func(_, _ netip.AddrPort) bool { return false },
 	}
 	for i := range count {
 		m.add(i)
@@ -106,6 +109,7 @@
 	m.events = append(m.events, events...)
 	for _, s := range sends {
 		m.sent++
+		m.sentBy[from]++
 		m.bytes += len(s.Payload)
 		if m.cut(from, s.To) || m.rand.Float64() < m.loss {
 			continue
@@ -137,6 +141,20 @@
 	return true
 }
 
+// What a node learns from a table was news to others before; it is not pushed on again,
+// so that joining costs about one datagram for each member.
+func TestJoiningCostsFewDatagrams(t *testing.T) {
+	is := is.New(t)
+	const members = 90
+	m := newMesh(members)
+	m.run(10 * time.Second)
+	m.add(members)
+	m.run(500 * time.Millisecond)
+	is.Equal(m.nodes[addrOf(members)].Len(), members+1)
+	is.True(m.agree(members, fleet.Alive))
+	is.True(m.sentBy[addrOf(members)] < members*3/2)
+}
+
 func TestAllNodesMeetWithinHalfASecond(t *testing.T) {
 	for _, count := range []int{2, 15, 88} {
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
--- a/internal/fleet/handle.go
+++ b/internal/fleet/handle.go
@@ -50,7 +50,11 @@
 	}
 	n.learn(now, m.From)
 	for i := range m.Members {
-		n.learn(now, m.Members[i])
+		if m.Type == typeTable {
+			n.learnFromTable(now, m.Members[i])
+		} else {
+			n.learn(now, m.Members[i])
+		}
 	}
 	if m.From.Role == Agent {
 		n.events = append(n.events, Event{Kind: LoadReported, Member: m.From, Load: m.Load})
@@ -63,6 +67,20 @@
 	})
 }
 
+// learnFromTable takes a statement from another member's table. It was news to others
+// before, so later messages suffice to pass it on. A process that has just started
+// makes itself known to the first members that it learns of.
+func (n *Node) learnFromTable(now time.Time, m Member) {
+	if !n.fill(now, m) {
+		return
+	}
+	n.enqueue(m.Addr)
+	if n.greetings > 0 && m.Liveness == Alive {
+		n.greetings--
+		n.sendTo(n.message(typeNews), m.Addr)
+	}
+}
+
 // tell sends one statement to one member.
 func (n *Node) tell(about Member, to netip.AddrPort) {
 	m := n.message(typeNews)
--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -15,14 +15,19 @@
 
 // spread passes a change on at once and queues it for later messages.
 func (n *Node) spread(a netip.AddrPort) {
-	n.queue = slices.DeleteFunc(n.queue, func(q news) bool { return q.addr == a })
-	repeats := bits.Len(uint(len(n.records)))/doublingsPerRepeat + newsFanout
-	n.queue = append(n.queue, news{addr: a, left: repeats})
+	n.enqueue(a)
 	m := n.message(typeNews)
 	m.Members = n.takeNews(pushedMembers)
 	n.sendTo(m, n.pick(newsFanout, a)...)
 }
 
+// enqueue lets later messages carry a change.
+func (n *Node) enqueue(a netip.AddrPort) {
+	n.queue = slices.DeleteFunc(n.queue, func(q news) bool { return q.addr == a })
+	repeats := bits.Len(uint(len(n.records)))/doublingsPerRepeat + newsFanout
+	n.queue = append(n.queue, news{addr: a, left: repeats})
+}
+
 // takeNews returns up to most changes to add to one message, the newest first; those
 // sent often enough are forgotten.
 func (n *Node) takeNews(most int) []Member {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -33,6 +33,8 @@
 	relays   map[uint32]relay
 	sequence uint32
 	joined   bool
+	// greetings is the number of members that this one may still greet.
+	greetings int
 
 	lastTick, nextProbe, nextJoin, nextCompare time.Time
 	// lastHeard is when any other member was heard last.
@@ -52,6 +54,7 @@
 		relays:    map[uint32]relay{},
 		lastTick:  now,
 		lastHeard: now,
+		greetings: maxGreetings,
 	}
 	cfg.Self.Revision = 1
 	n.self = &record{Member: cfg.Self, since: now}
@@ -192,25 +195,33 @@
 
 // learn takes a statement of another member into the table if it is new.
 func (n *Node) learn(now time.Time, m Member) {
+	if n.fill(now, m) {
+		n.spread(m.Addr)
+	}
+}
+
+// fill takes a statement into the table without passing it on, and reports whether it
+// was new.
+func (n *Node) fill(now time.Time, m Member) bool {
 	if m.Addr == n.self.Addr {
 		n.refute(now, m)
-		return
+		return false
 	}
 	r := n.records[m.Addr]
 	if r == nil {
 		if m.Liveness == Dead && n.joined {
-			return // news of somebody who was never met here
+			return false // news of somebody who was never met here
 		}
 		r = &record{}
 		n.records[m.Addr] = r
 		n.circleOf(m.DataCentre).insert(m.Addr, n.cfg.Rand)
 	} else if !Supersedes(&m, &r.Member) {
 		n.heardAgain(&m, r)
-		return
+		return false
 	}
 	n.replace(now, r, m)
 	n.events = append(n.events, Event{Kind: MemberChanged, Member: m})
-	n.spread(m.Addr)
+	return true
 }
 
 // refute answers a statement about this member that others hold against it.
