A process that joins a large fleet fetches the whole table

Cause: datagrams brought at most 336 members to a process that joined, and the rest 14 at a time as tables were compared, three times a second at most: a quarter of an hour at the design size of 43,900, in which a balancer cannot place most flows. A statement that all news had missed was found by chance only.

Change: messages name the size of the sender's table. A member that lacks more than datagrams bring, or whose table has differed for ten minutes while large, fetches the whole table over the TCP exchange that carries the desired state, and takes it over in parts so that packets do not wait. Small fleets do as before.

Found by the new benchmark: inserting each member at a random place of the order of probes moved the rest; one swap does the same.

Ruled out: comparing checksums of buckets, as presence does: some 13 KB for each bucket that differs, and at the size tables differ at any moment.

--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -78,3 +78,15 @@
 		runtime.KeepAlive(m)
 	}
 }
+
+// BenchmarkTakeTable is the cost of a whole table at the design size, for a process
+// that joins.
+func BenchmarkTakeTable(b *testing.B) {
+	m := newMesh(1)
+	fill(m, m.nodes[addrOf(0)], designMembers)
+	members := m.nodes[addrOf(0)].Members()
+	for b.Loop() {
+		joiner := newMesh(1).nodes[addrOf(0)]
+		joiner.TakeTable(m.now, members)
+	}
+}
--- a/internal/fleet/circle.go
+++ b/internal/fleet/circle.go
@@ -13,9 +13,14 @@
 	next  int
 }
 
-// insert puts a member at a random place.
+// insert puts a member at a random place among those that are still to be probed in
+// this round. The one that stood there goes to the end.
 func (c *circle) insert(a netip.AddrPort, r *rand.Rand) {
-	c.addrs = slices.Insert(c.addrs, r.IntN(len(c.addrs)+1), a)
+	c.addrs = append(c.addrs, a)
+	last := len(c.addrs) - 1
+	first := min(c.next, last)
+	place := first + r.IntN(last-first+1)
+	c.addrs[place], c.addrs[last] = c.addrs[last], c.addrs[place]
 }
 
 func (c *circle) remove(a netip.AddrPort) {
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -33,6 +33,11 @@
 	isolationTimeout = 600 * time.Millisecond
 	// comparePeriod is the least time between two answers to differing tables.
 	comparePeriod = 300 * time.Millisecond
+	// fetchPeriod is the least time between two fetches of a whole table, and auditPeriod
+	// the time after which one is fetched although nothing seems to be missing: news that
+	// got lost is found by then.
+	fetchPeriod = 2 * time.Second
+	auditPeriod = 10 * time.Minute
 	// freezeLimit is the gap between two ticks after which the process itself must
 	// have stood still.
 	freezeLimit = 700 * time.Millisecond
@@ -58,6 +63,8 @@
 	// probedMembers that in a probe or its answer.
 	pushedMembers = 3
 	probedMembers = maxDatagramMembers / 2
+	// largeTable is the number of members that datagrams do not bring in a short time.
+	largeTable = tableParts * maxDatagramMembers
 	// recentMembers is the number of members whose changes are sent first when tables differ.
 	recentMembers = maxDatagramMembers
 	// pickTries bounds the draws when random members are chosen.
@@ -105,6 +112,9 @@
 	VersionReported
 	// LoadReported: Member said how busy it is.
 	LoadReported
+	// FellBehind: Member knows many members that this one does not, or has had another
+	// table for long. Its whole table should be fetched and given to TakeTable.
+	FellBehind
 )
 
 // Event is something that the rest of the process acts on or logs.
--- a/internal/fleet/handle.go
+++ b/internal/fleet/handle.go
@@ -20,6 +20,7 @@
 	}
 	n.lastHeard = now
 	n.takeIn(now, m)
+	n.checkTable(now, m)
 	switch m.Type {
 	case typePing:
 		n.answer(from, m)
@@ -112,6 +113,28 @@
 	}
 }
 
+// checkTable asks for the whole table of a member whose table is much larger, or has
+// differed for long. Tables that datagrams can carry are compared by these alone.
+func (n *Node) checkTable(now time.Time, m *message) {
+	missing := int(m.Count) - len(n.records)
+	isAudit := int(m.Count) > largeTable && m.Sum != n.sum && now.Sub(n.lastFetch) >= auditPeriod
+	if (missing <= largeTable && !isAudit) || now.Before(n.nextFetch) {
+		return
+	}
+	n.nextFetch = now.Add(fetchPeriod)
+	n.events = append(n.events, Event{Kind: FellBehind, Member: m.From})
+}
+
+// TakeTable takes over a part of another member's whole table. Its statements are not
+// passed on: those that were new to others were passed on as news.
+func (n *Node) TakeTable(now time.Time, members []Member) ([]Send, []Event) {
+	n.lastFetch = now
+	for i := range members {
+		n.fill(now, members[i])
+	}
+	return n.take()
+}
+
 // help probes a member for another one.
 func (n *Node) help(now time.Time, from netip.AddrPort, m *message) {
 	n.sequence++
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -45,6 +45,8 @@
 	// Sum is the hash of the sender's table, TableVersion that of its desired state.
 	Sum     uint64
 	Version uint64
+	// Count is the number of members in the sender's table.
+	Count uint32
 	// AgeMS is how long ago the sender's desired state was last confirmed as the newest.
 	AgeMS uint32
 	// Ask is set when the sender wants the receiver's table.
--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -102,6 +102,7 @@
 		Load:    n.cfg.Load(),
 		Sum:     n.sum,
 		Version: version,
+		Count:   uint32(len(n.records)),
 		AgeMS:   uint32(min(age.Milliseconds(), math.MaxUint32)),
 	}
 }
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -37,6 +37,9 @@
 	greetings int
 
 	lastTick, nextProbe, nextJoin, nextCompare time.Time
+	// nextFetch is when a whole table may be fetched again, and lastFetch when the last
+	// one was taken.
+	nextFetch, lastFetch time.Time
 	// lastHeard is when any other member was heard last.
 	lastHeard time.Time
 
@@ -54,6 +57,7 @@
 		relays:    map[uint32]relay{},
 		lastTick:  now,
 		lastHeard: now,
+		lastFetch: now,
 		greetings: maxGreetings,
 	}
 	cfg.Self.Revision = 1
--- a/internal/flowproc/core.go
+++ b/internal/flowproc/core.go
@@ -118,7 +118,7 @@
 	closeAtEnd(ctx, c.streams)
 	group.Go(func() error { return c.readPeers(ctx) })
 	group.Go(func() error {
-		statesync.Serve(c.streams, c.table)
+		statesync.Serve(c.streams, source{c})
 		return nil
 	})
 	group.Go(func() error { return c.tickLoop(ctx) })
@@ -209,6 +209,8 @@
 		c.log.event("objected to an older or false statement about this process", fields{"incarnation": e.Member.Incarnation, "held": e.Member.Liveness})
 	case fleet.LoadReported:
 		c.board.Report(e.Member.Addr, e.Load.Flows, e.Load.Active)
+	case fleet.FellBehind:
+		go c.fetchMembers(ctx, e.Member.Addr)
 	case fleet.VersionReported:
 		c.follower.Heard(now, e.Version, e.Age)
 		if e.Version > c.follower.Table().Version() && !now.Before(c.fetching) {
--- a/internal/flowproc/deployment_test.go
+++ b/internal/flowproc/deployment_test.go
@@ -15,6 +15,7 @@
 	"github.com/almondledge/almondledge/internal/flow"
 	"github.com/almondledge/almondledge/internal/flowagent"
 	"github.com/almondledge/almondledge/internal/flowproc"
+	"github.com/almondledge/almondledge/internal/hop"
 	"github.com/almondledge/almondledge/internal/logging"
 	"github.com/almondledge/almondledge/internal/memnet"
 	"github.com/almondledge/almondledge/internal/route"
@@ -323,3 +324,20 @@
 	defer d.mu.Unlock()
 	return *c
 }
+
+// introduce lets a balancer hear of members that nobody else knows and that do not run.
+func (d *deployment) introduce(balancer, count int) {
+	to := netip.AddrPortFrom(balancerAddr(balancer), peerPort)
+	for i := range count {
+		at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), peerPort)
+		stranger := fleet.New(time.Now(), fleet.Config{
+			Self:    fleet.Member{Addr: at, Role: fleet.Agent, DataCentre: "dc2", Incarnation: 1},
+			Rand:    rand.New(rand.NewPCG(1, uint64(i))),
+			Version: func() (uint64, time.Duration) { return 0, 0 },
+			Load:    func() fleet.Load { return fleet.Load{} },
+		})
+		sends, _ := stranger.Tell([]netip.AddrPort{to})
+		d.net.Inject(at, to, append([]byte{byte(hop.TypeMembership)}, sends[0].Payload...))
+	}
+	time.Sleep(50 * time.Millisecond)
+}
--- a/internal/flowproc/flowproc_test.go
+++ b/internal/flowproc/flowproc_test.go
@@ -248,3 +248,21 @@
 		is.Equal(len(d.read(c).Answers), 1)
 	})
 }
+
+// A process that starts in a large fleet has the whole table at once, and takes flows.
+func TestStartInALargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := deploy(t, 2, 3)
+		const strangers = 1500
+		d.introduce(0, strangers)
+		d.balancers[1].kill()
+		<-d.balancers[1].done
+		d.balancers[1] = d.startBalancer(1)
+		time.Sleep(300 * time.Millisecond)
+		is.Equal(value(d.scrape(balancerAddr(1)), `almondledge_members{liveness="alive"}`),
+			value(d.scrape(balancerAddr(0)), `almondledge_members{liveness="alive"}`))
+		is.True(strings.Contains(d.logs.String(), `message="members fetched"`))
+		is.Equal(len(d.read(d.call(1, 1000)).Answers), 1)
+	})
+}
--- a/internal/statesync/statesync_test.go
+++ b/internal/statesync/statesync_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/fleet"
 	"github.com/almondledge/almondledge/internal/network"
 	"github.com/almondledge/almondledge/internal/route"
 	"github.com/almondledge/almondledge/internal/statesync"
@@ -104,15 +105,28 @@
 	is.Equal(f.Failures(), 30)
 }
 
+// tableSource gives one state and some members.
+type tableSource struct {
+	table   *route.Table
+	members []fleet.Member
+}
+
+func (s tableSource) Table() *route.Table     { return s.table }
+func (s tableSource) Members() []fleet.Member { return s.members }
+
 func TestFetch(t *testing.T) {
 	is := is.New(t)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
 	table := route.NewTable(route.State{Version: 7, Routes: []route.Route{{Name: "a", Shares: []route.Share{{Service: "s", Weight: 1}}}}})
+	members := []fleet.Member{
+		{Addr: netip.MustParseAddrPort("10.0.0.1:7000"), Role: fleet.Balancer, DataCentre: "dc1", Incarnation: 5, Revision: 2},
+		{Addr: netip.MustParseAddrPort("10.0.0.2:7000"), Role: fleet.Agent, Liveness: fleet.Suspect, Backend: fleet.Backend{Service: "s", Born: 9, Slots: 3}},
+	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		statesync.Serve(listener, func() *route.Table { return table })
+		statesync.Serve(listener, tableSource{table, members})
 	}()
 	addr := netip.MustParseAddrPort(listener.Addr().String())
 
@@ -122,6 +136,9 @@
 	state, err = statesync.Fetch(context.Background(), network.System{}.DialTCP, addr, 7)
 	is.NoErr(err)
 	is.Equal(state.Version, uint64(0)) // nothing newer
+	got, err := statesync.FetchMembers(context.Background(), network.System{}.DialTCP, addr)
+	is.NoErr(err)
+	is.Equal(got, members)
 
 	is.NoErr(listener.Close())
 	<-done
