Searches for flows begin in the caller's data centre

Change: the agents of the data centre whose balancer took the packet are asked first, the rest when all of these have said no or after 150 ms. After a loss of everything all are asked at once, since nobody has the flow.

--- a/internal/flowagent/flowagent_test.go
+++ b/internal/flowagent/flowagent_test.go
@@ -356,6 +356,76 @@
 	}
 }
 
+// After the restart of all processes, flows are looked for in the data centre of their
+// callers first (found by the incident of mbps-ledge-grown: each packet went to all
+// backend servers, half of all bytes between data centres).
+func TestSearchesBeginNearby(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		near  bool
+		asked bool
+	}{
+		{"the flow is nearby", true, false},
+		{"the flow is far away", false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, 8)
+			w.others = []fleet.Member{{Addr: w.self, Role: fleet.Balancer, DataCentre: "dc1", Incarnation: 1}}
+			c, owner := w.open(1000)
+			for i, p := range w.places {
+				p.member.DataCentre = []string{"dc1", "dc2"}[i%2]
+			}
+			owner.member.DataCentre = "dc2"
+			if test.near {
+				owner.member.DataCentre = "dc1"
+			}
+			w.forget()
+			for _, p := range w.places {
+				w.restart(p)
+			}
+			w.share()
+			w.pass(2 * time.Second)
+			w.fromCaller(c.Request("again"))
+			is.Equal(len(c.Answers), 2)
+			is.True(!c.Reset)
+			asked := false
+			for _, p := range w.places {
+				asked = asked || (p.member.DataCentre == "dc2" && p.queries > 0)
+			}
+			is.Equal(asked, test.asked)
+		})
+	}
+}
+
+// A backend server that has the flow answers the caller and nobody else; the others
+// are asked when it has been given some time.
+func TestSearchGoesOnWhenNobodyNearbyAnswers(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 4)
+	w.others = []fleet.Member{{Addr: w.self, Role: fleet.Balancer, DataCentre: "dc1", Incarnation: 1}}
+	c, owner := w.open(1000)
+	var silent *place
+	for _, p := range w.places {
+		p.member.DataCentre = "dc2"
+		if p != owner && silent == nil {
+			silent = p
+			p.member.DataCentre = "dc1"
+		}
+	}
+	w.forget()
+	for _, p := range w.places {
+		w.restart(p)
+	}
+	w.share()
+	w.pass(2 * time.Second)
+	silent.down = true
+	w.fromCaller(c.Request("again"))
+	is.Equal(len(c.Answers), 1)
+	w.pass(150 * time.Millisecond)
+	is.Equal(len(c.Answers), 2)
+}
+
 func TestTwoAnswersToCopiesOfOneOpeningPacket(t *testing.T) {
 	for port := uint16(1000); port < 1010; port++ { // either of the two is a flow's home
 		is := is.New(t)
--- a/internal/flowagent/search.go
+++ b/internal/flowagent/search.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// searchTime is how long the agents have to answer; an agent that has not answered
-	// by then leaves the outcome open.
+	// searchTime is how long the agents that were asked have to answer; an agent that has
+	// not answered by then leaves the outcome open. A backend server that has the flow
+	// says so with its answer to the caller, which takes longer than to return a packet.
 	searchTime = 150 * time.Millisecond
 	// startTime is how long a process that has just started keeps searches open: its
 	// view of the agents is not whole yet.
@@ -29,14 +30,16 @@
 
 // search is the question of a flow's home to all agents that may have the flow.
 type search struct {
-	// asked is when the agents were asked last.
-	asked time.Time
+	// listed is when the agents to ask were listed, and asked when some were asked last.
+	listed, asked time.Time
 	// ended is set once the search is over; its flow is not searched for again until
 	// some time later.
 	ended time.Time
 	// waiting lists the agents that have not answered, unsure those that got the packet
 	// because they could not tell.
 	waiting, unsure []flow.Endpoint
+	// rest lists the agents that are asked only if those nearby do not have the flow.
+	rest []netip.AddrPort
 	// complete is set if the agents asked are all that there are.
 	complete bool
 	forward  hop.Forward
@@ -64,21 +67,59 @@
 	s := &search{forward: f, front: p.Dst, ack: p.Ack, reset: !p.Flags.Has(flow.RST)}
 	s.forward.Packet = slices.Clone(p.Raw)
 	a.searches.Add(d.Key, s)
-	return a.ask(now, d, s)
+	return a.begin(now, d, s)
 }
 
-// ask sends the question of a search to all agents that may have the flow.
-func (a *Agent) ask(now time.Time, d Decision, s *search) Decision {
-	d.Outcome = Searched
+// begin asks the agents of the data centre whose balancer took the packet: their
+// backend servers have most flows of its callers.
+func (a *Agent) begin(now time.Time, d Decision, s *search) Decision {
+	a.list(now, s)
+	near, rest := a.splitByDistance(s.rest, s.forward.Balancer)
+	if len(near) == 0 || a.cfg.Board.IsFresh(now) {
+		return a.askRest(now, d, s) // after a loss of everything nobody has it, in all likelihood
+	}
+	s.rest = rest
+	return a.ask(now, d, s, near)
+}
+
+// list notes the agents that may have the flow of a search, as they are known now.
+func (a *Agent) list(now time.Time, s *search) {
 	agents, complete := a.candidates(s.front)
-	s.asked, s.complete = now, complete
+	s.rest = slices.DeleteFunc(agents, func(agent netip.AddrPort) bool { return agent == a.cfg.Self })
+	s.listed, s.complete = now, complete
 	s.waiting, s.unsure = s.waiting[:0], nil
+}
+
+// splitByDistance returns the agents in the data centre of a balancer, and the others.
+// None is near to an unknown balancer.
+func (a *Agent) splitByDistance(agents []netip.AddrPort, balancer flow.Endpoint) (near, others []netip.AddrPort) {
+	m, known := a.cfg.Board.Member(balancer.AddrPort())
+	for _, agent := range agents {
+		other, _ := a.cfg.Board.Member(agent)
+		if known && other.DataCentre == m.DataCentre {
+			near = append(near, agent)
+		} else {
+			others = append(others, agent)
+		}
+	}
+	return near, others
+}
+
+// askRest asks all agents of a search that have not been asked yet.
+func (a *Agent) askRest(now time.Time, d Decision, s *search) Decision {
+	rest := s.rest
+	s.rest = nil
+	return a.ask(now, d, s, rest)
+}
+
+// ask sends the question of a search to some agents.
+func (a *Agent) ask(now time.Time, d Decision, s *search, agents []netip.AddrPort) Decision {
+	d.Outcome = Searched
+	s.asked = now
 	q := hop.Query{Key: d.Key, Ack: s.ack, Home: a.self}
 	for _, to := range agents {
-		if e := flow.EndpointOf(to); e != a.self {
-			s.waiting = append(s.waiting, e)
-			d.Sends = append(d.Sends, hop.Send{To: to, Payload: q.AppendTo(nil)})
-		}
+		s.waiting = append(s.waiting, flow.EndpointOf(to))
+		d.Sends = append(d.Sends, hop.Send{To: to, Payload: q.AppendTo(nil)})
 	}
 	if len(s.waiting) == 0 {
 		return a.conclude(now, d, s)
@@ -156,10 +197,14 @@
 		return d
 	}
 	s.waiting = slices.DeleteFunc(s.waiting, func(e flow.Endpoint) bool { return e == agent })
-	if len(s.waiting) == 0 {
+	switch {
+	case len(s.waiting) > 0:
+		return d
+	case len(s.rest) > 0:
+		return a.askRest(now, d, s)
+	default:
 		return a.conclude(now, d, s)
 	}
-	return d
 }
 
 // conclude ends a search in which all agents have said that they do not have the
@@ -199,11 +244,14 @@
 			if now.Sub(s.ended) >= repeatTime {
 				a.searches.Remove(key)
 			}
-		case len(s.waiting) == 0 && s.asked.After(a.cfg.Board.LastNew()) && a.cfg.Board.IsSettled(now):
+		case len(s.waiting) == 0 && s.listed.After(a.cfg.Board.LastNew()) && a.cfg.Board.IsSettled(now):
 			decisions = append(decisions, a.conclude(now, Decision{Key: key}, s))
 		case now.Sub(s.asked) < searchTime:
+		case len(s.rest) > 0:
+			decisions = append(decisions, a.askRest(now, Decision{Key: key}, s))
 		case now.Sub(a.started) < startTime+2*searchTime:
-			decisions = append(decisions, a.ask(now, Decision{Key: key}, s))
+			a.list(now, s)
+			decisions = append(decisions, a.askRest(now, Decision{Key: key}, s))
 		default:
 			s.end(now)
 			decisions = append(decisions, Decision{Outcome: Lost, Key: key, Reason: "agent_silent"})
--- a/internal/flowagent/world_test.go
+++ b/internal/flowagent/world_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -29,6 +30,8 @@
 	member  fleet.Member
 	// sawStart is what the agent is told of the start of its backend server.
 	sawStart bool
+	// queries counts the questions about flows that came here.
+	queries int
 	// down agents get nothing.
 	down bool
 	// backendDown backend servers get nothing.
@@ -47,6 +50,8 @@
 	callers  map[flow.Key]*flows.Caller
 	routes   *route.Table
 	hops     int
+	// others are members beside the agents.
+	others []fleet.Member
 }
 
 // newWorld returns a world with agents of one service, whose backend servers
@@ -97,7 +102,7 @@
 
 // share gives every board the present members.
 func (w *world) share() {
-	var members []fleet.Member
+	members := slices.Clone(w.others)
 	for _, p := range w.places {
 		members = append(members, p.member)
 	}
@@ -221,6 +226,7 @@
 	case hop.TypeQuery:
 		q, err := hop.DecodeQuery(payload)
 		if err == nil {
+			p.queries++
 			for _, s := range p.agent.HandleQuery(w.now, q) {
 				w.deliver(p.addr, s)
 			}
--- a/internal/placement/members.go
+++ b/internal/placement/members.go
@@ -137,15 +137,15 @@
 // have flows: none has gone without a word, and no new one has appeared for a while.
 func (b *Board) IsSettled(now time.Time) bool {
 	start, settle := startTime, settleTime
-	if b.isFresh(now) {
+	if b.IsFresh(now) {
 		start, settle = freshStartTime, freshSettleTime
 	}
 	return b.doubtful == 0 && now.Sub(b.started) >= start && now.Sub(b.lastNew) >= settle
 }
 
-// isFresh reports whether this process and all backend servers that it knows have
+// IsFresh reports whether this process and all backend servers that it knows have
 // started together and not long ago.
-func (b *Board) isFresh(now time.Time) bool {
+func (b *Board) IsFresh(now time.Time) bool {
 	return b.askable > 0 && b.old == 0 && now.Sub(b.started) < freshAge
 }
 
