Flows of an instance that went without a word end after a second

Homes also passed packets on to the claim's owner though it was known to be dead.

Change: an agent that went without a word is given up a second after it is taken for dead, some 2.5 s after its last sign of life, and the search for a flow stays open until then, so that the reset needs no further packet. An agent that stopped as planned is still waited for: its backend server lives on. Members' statements say whether the end was announced.

Ruled out: giving up suspects, or the dead at once: an agent that is killed is back within a second, and its flows go on.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -13,10 +13,10 @@
 	"refused/crowded":         "all backend servers of the route were crowded (see active), and this was the caller's last copy; nothing has run",
 	"refused/returned":        "the backend server returned the opening packet, and no other took it; nothing has run",
 	"refused/older_state":     "the agent had a newer desired state than the balancer, which has no such route; nothing has run",
-	"ended/no_agent_has_it":   "no agent's backend server held the flow any more; the caller was told by a reset",
+	"ended/no_agent_has_it":   "no agent's backend server held the flow any more, or its instance was lost (see members with liveness=dead); the caller was told by a reset",
 	"ended/":                  "the flow's backend server has ended or restarted (see born) and lost its flows; the caller was told by a reset",
 	"ended/backend_lost_flow": "the backend server returned a packet of a flow that it had held; the caller was told by a reset",
-	"lost/members_in_doubt":   "no agent had the flow, but some agent had gone without a word and its backend server may have it; the packet was dropped",
+	"lost/members_in_doubt":   "no agent had the flow, but some agent was silent or had stopped and its backend server may have it; the packet was dropped",
 	"lost/agent_silent":       "an agent did not answer the search for the flow; the packet was dropped",
 	"lost/search_under_way":   "the flow was being searched for; the packet was dropped and a retransmission counts",
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -350,3 +350,29 @@
 		is.Equal(member.Backend.State, fleet.BackendDraining)
 	}
 }
+
+// That a member stopped as planned is remembered after its death, and ends with its
+// next start.
+func TestAnnouncedEndIsRemembered(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(6)
+	m.run(5 * time.Second)
+	sends, events := m.nodes[addrOf(4)].Leave(m.now)
+	m.post(addrOf(4), sends, events)
+	m.run(200 * time.Millisecond)
+	m.down[addrOf(4)] = true
+	m.down[addrOf(5)] = true // without a word
+	m.run(10 * time.Second)
+	for i, announced := range map[int]bool{4: true, 5: false} {
+		member, known := m.believe(1, i)
+		is.True(known)
+		is.Equal(member.Liveness, fleet.Dead)
+		is.Equal(member.Announced, announced)
+	}
+	m.down[addrOf(4)] = false
+	m.add(4)
+	m.run(time.Second)
+	member, _ := m.believe(1, 4)
+	is.Equal(member.Liveness, fleet.Alive)
+	is.True(!member.Announced)
+}
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -110,6 +110,8 @@
 	// Revision counts the statements of one incarnation.
 	Revision uint32
 	Liveness Liveness
+	// Announced is set once the process has said that it would end.
+	Announced bool
 	// Backend is set for agents.
 	Backend Backend
 }
--- a/internal/flowagent/forward.go
+++ b/internal/flowagent/forward.go
@@ -203,7 +203,7 @@
 		return d
 	}
 	if owner, ok := a.claims.Get(d.Key); ok {
-		if slices.Contains(f.Visited, owner) {
+		if slices.Contains(f.Visited, owner) || a.isDead(owner) {
 			a.claims.Remove(d.Key)
 			return a.locate(now, f, p, d)
 		}
@@ -217,6 +217,12 @@
 	return a.locate(now, f, p, d)
 }
 
+// isDead reports whether an agent is known to have ended, or taken for it.
+func (a *Agent) isDead(agent flow.Endpoint) bool {
+	m, known := a.cfg.Board.Member(agent.AddrPort())
+	return known && m.Liveness == fleet.Dead
+}
+
 func (a *Agent) passTo(f hop.Forward, d Decision, to netip.AddrPort, reason string) Decision {
 	// The receiver's notice goes to the balancer even if it expected the flow there.
 	f.Expected = false
--- /dev/null
+++ b/internal/flowagent/report_test.go
@@ -0,0 +1,107 @@
+package flowagent_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/fleet"
+	"github.com/almondledge/almondledge/internal/flowagent"
+)
+
+func TestReports(t *testing.T) {
+	at := time.Unix(2_000_000_000, 0)
+	first := flowagent.Report{ID: "a", Service: "alpha", State: fleet.BackendReady, Born: 1000, Slots: 5, Sequence: 3}
+	change := func(f func(*flowagent.Report)) flowagent.Report {
+		r := first
+		f(&r)
+		return r
+	}
+	tests := []struct {
+		name   string
+		report flowagent.Report
+		kind   errkind.Kind
+	}{
+		{"the next one", change(func(r *flowagent.Report) { r.Sequence = 4 }), ""},
+		{"the same again", first, errkind.Stale},
+		{"a late one", change(func(r *flowagent.Report) { r.Sequence = 2 }), errkind.Stale},
+		{"one of an earlier start, counting higher", change(func(r *flowagent.Report) { r.Born, r.Sequence = 900, 50 }), errkind.Stale},
+		{"one of a later start, counting anew", change(func(r *flowagent.Report) { r.Born, r.Sequence = 1100, 1 }), ""},
+		{"one of a start before, after a clock was set back", change(func(r *flowagent.Report) { r.Born, r.Sequence = 900, 1 }), errkind.Stale},
+		{"one of another service", change(func(r *flowagent.Report) { r.Service, r.Sequence = "beta", 9 }), errkind.Invalid},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			reports := flowagent.NewReports("alpha")
+			_, err := reports.Take(at, first)
+			is.NoErr(err)
+			_, err = reports.Take(at, test.report)
+			is.Equal(errkind.Of(err), test.kind)
+		})
+	}
+}
+
+func TestReportsAfterAClockWasSetBack(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(2_000_000_000, 0)
+	reports := flowagent.NewReports("alpha")
+	report := flowagent.Report{ID: "a", Service: "alpha", State: fleet.BackendReady, Born: 1000, Sequence: 30}
+	_, err := reports.Take(at, report)
+	is.NoErr(err)
+	is.True(!reports.SawStart())
+	report.Born, report.Sequence = 500, 1
+	_, err = reports.Take(at.Add(time.Second), report)
+	is.True(errkind.Is(err, errkind.Stale)) // as a late report would look
+	report.Sequence = 5
+	_, err = reports.Take(at.Add(4*time.Second), report)
+	is.NoErr(err) // nobody speaks for the later start any more
+}
+
+// After a loss of power a backend server's first reports fail until its agent runs
+// (found by the bench: third reports were taken for those of an older life, and every
+// lost flow was looked for at every backend server for a minute).
+func TestFirstReportOfALife(t *testing.T) {
+	tests := []struct {
+		name     string
+		age      time.Duration
+		sequence int64
+		want     bool
+	}{
+		{"the first one", time.Second, 1, true},
+		{"the third one, soon after the start", 90 * time.Millisecond, 3, true},
+		{"the third one, a reporting period later", 1300 * time.Millisecond, 3, false},
+		{"one of an old life", time.Hour, 3000, false},
+		{"one from the future", -90 * time.Millisecond, 3, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			at := time.Unix(2_000_000_000, 0)
+			reports := flowagent.NewReports("alpha")
+			_, err := reports.Take(at, flowagent.Report{
+				ID: "a", Service: "alpha", State: fleet.BackendReady, Born: at.Add(-test.age).UnixMilli(), Sequence: test.sequence,
+			})
+			is.NoErr(err)
+			is.Equal(reports.SawStart(), test.want)
+		})
+	}
+}
+
+func TestLeavingBackendIsGoneOnlyAfterItHasEnded(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(2_000_000_000, 0)
+	reports := flowagent.NewReports("alpha")
+	_, err := reports.Take(at, flowagent.Report{ID: "a", Service: "alpha", State: fleet.BackendDraining, Born: 1, Sequence: 1})
+	is.NoErr(err)
+	is.Equal(reports.Leave(at, "b").State, fleet.BackendDraining) // the word of another one
+	_, changed := reports.Review(at.Add(time.Hour))
+	is.True(!changed)
+	is.Equal(reports.Leave(at, "a").State, fleet.BackendDraining)
+	b, _ := reports.Review(at.Add(100 * time.Millisecond))
+	is.Equal(b.State, fleet.BackendDraining)
+	b, _ = reports.Review(at.Add(time.Second))
+	is.Equal(b.State, fleet.BackendGone)
+}
--- a/internal/flowagent/search.go
+++ b/internal/flowagent/search.go
@@ -19,6 +19,9 @@
 	// startTime is how long a process that has just started keeps searches open: its
 	// view of the agents is not whole yet.
 	startTime = time.Second
+	// doubtPatience is how long a search stays open in which only agents are missing that
+	// have gone silent.
+	doubtPatience = 3 * time.Second
 	// repeatTime is how long packets of a flow whose search had no result are dropped
 	// without another search.
 	repeatTime = 300 * time.Millisecond
@@ -30,6 +33,8 @@
 
 // search is the question of a flow's home to all agents that may have the flow.
 type search struct {
+	// begun is when the search began.
+	begun time.Time
 	// listed is when the agents to ask were listed, and asked when some were asked last.
 	listed, asked time.Time
 	// ended is set once the search is over; its flow is not searched for again until
@@ -64,7 +69,7 @@
 		d.Outcome, d.Reason = Lost, "search_under_way"
 		return d
 	}
-	s := &search{forward: f, front: p.Dst, ack: p.Ack, reset: !p.Flags.Has(flow.RST)}
+	s := &search{begun: now, forward: f, front: p.Dst, ack: p.Ack, reset: !p.Flags.Has(flow.RST)}
 	s.forward.Packet = slices.Clone(p.Raw)
 	a.searches.Add(d.Key, s)
 	return a.begin(now, d, s)
@@ -208,11 +213,12 @@
 }
 
 // conclude ends a search in which all agents have said that they do not have the
-// flow. If these are certainly all agents, the caller is told at once. A process
-// that has just started keeps the search open until it knows the agents.
+// flow. If these are certainly all agents, the caller is told at once. Otherwise the
+// search stays open for a while: a process that has just started may not know all
+// agents, and one that is silent may be back.
 func (a *Agent) conclude(now time.Time, d Decision, s *search) Decision {
 	settled := a.cfg.Board.IsSettled(now)
-	if !settled && now.Sub(a.started) < startTime {
+	if !settled && now.Sub(s.begun) < doubtPatience {
 		return d
 	}
 	s.end(now)
@@ -232,30 +238,42 @@
 	s.forward.Packet = nil
 }
 
-// reviewSearches asks again in searches that a new process has kept open, ends those
-// in which some agent has not answered, and forgets old ones.
+// reviewSearches goes on with searches that are open, and forgets old ones.
 func (a *Agent) reviewSearches(now time.Time) []Decision {
 	var decisions []Decision
 	for _, key := range a.searches.Keys() {
 		s, ok := a.searches.Peek(key)
 		switch {
 		case !ok:
-		case !s.ended.IsZero():
-			if now.Sub(s.ended) >= repeatTime {
-				a.searches.Remove(key)
+		case s.ended.IsZero():
+			if d, goesOn := a.reviewSearch(now, Decision{Key: key}, s); goesOn {
+				decisions = append(decisions, d)
 			}
-		case len(s.waiting) == 0 && s.listed.After(a.cfg.Board.LastNew()) && a.cfg.Board.IsSettled(now):
-			decisions = append(decisions, a.conclude(now, Decision{Key: key}, s))
-		case now.Sub(s.asked) < searchTime:
-		case len(s.rest) > 0:
-			decisions = append(decisions, a.askRest(now, Decision{Key: key}, s))
-		case now.Sub(a.started) < startTime+2*searchTime:
-			a.list(now, s)
-			decisions = append(decisions, a.askRest(now, Decision{Key: key}, s))
-		default:
-			s.end(now)
-			decisions = append(decisions, Decision{Outcome: Lost, Key: key, Reason: "agent_silent"})
+		case now.Sub(s.ended) >= repeatTime:
+			a.searches.Remove(key)
 		}
 	}
 	return decisions
 }
+
+// reviewSearch goes on with one search, or returns false if there is nothing to do yet.
+func (a *Agent) reviewSearch(now time.Time, d Decision, s *search) (Decision, bool) {
+	allKnown := s.listed.After(a.cfg.Board.LastNew())
+	allSaidNo := len(s.waiting) == 0
+	isYoung := now.Sub(a.started) < startTime+2*searchTime
+	switch {
+	case allSaidNo && allKnown && (a.cfg.Board.IsSettled(now) || now.Sub(s.begun) >= doubtPatience):
+		return a.conclude(now, d, s), true
+	case now.Sub(s.asked) < searchTime, allSaidNo && allKnown:
+		return d, false
+	case len(s.rest) > 0:
+		return a.askRest(now, d, s), true
+	case isYoung || allSaidNo:
+		a.list(now, s) // some agents are new, or were not heard
+		return a.askRest(now, d, s), true
+	default:
+		s.end(now)
+		d.Outcome, d.Reason = Lost, "agent_silent"
+		return d, true
+	}
+}
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -60,10 +60,13 @@
 	services   map[string][]fleet.Member
 	members    map[netip.AddrPort]fleet.Member
 	ring       ring
-	// askable, answering and doubtful count agents: those whose backend servers may have
-	// flows, those that are believed to answer, and those that have gone without a word.
-	// The last may be back, and their backend servers may hold flows meanwhile.
-	askable, answering, doubtful int
+	// askable and answering count agents: those whose backend servers may have flows, and
+	// those that are believed to answer.
+	askable, answering int
+	// doubtful holds the agents that have gone silent, with the time from which on they are
+	// taken for dead; zero for suspects. They may be back, and their backend servers may
+	// hold flows meanwhile.
+	doubtful map[netip.AddrPort]time.Time
 	// old counts the askable agents whose backend servers started long before this process.
 	old int
 	// lastNew is when an agent was first seen.
@@ -78,6 +81,7 @@
 		self:       self,
 		dataCentre: dataCentre,
 		rand:       random,
+		doubtful:   map[netip.AddrPort]time.Time{},
 		loads:      map[netip.AddrPort]*load{},
 		services:   map[string][]fleet.Member{},
 		members:    map[netip.AddrPort]fleet.Member{},
--- a/internal/placement/members.go
+++ b/internal/placement/members.go
@@ -15,6 +15,11 @@
 	startTime  = 400 * time.Millisecond
 )
 
+// lostTime is how long after its death an agent that went without a word is waited
+// for. One that stops as planned is waited for until it is forgotten: its backend
+// server lives on.
+const lostTime = time.Second
+
 // After a loss of everything no backend server has flows from before, so an agent
 // that has not appeared yet cannot have one that is asked for. These times suffice then.
 const (
@@ -39,6 +44,7 @@
 		}
 		b.members[m.Addr] = *m
 		b.count(m, 1)
+		b.noteDoubt(now, m)
 		b.joinService(m)
 		b.moveOnRing(m.Addr, known && isHome(&old), isHome(m))
 	}
@@ -55,6 +61,7 @@
 	b.moveOnRing(addr, isHome(&old), false)
 	delete(b.members, addr)
 	delete(b.loads, addr)
+	delete(b.doubtful, addr)
 }
 
 // Settle brings the homes of flows up to date, and reports whether any changed.
@@ -76,7 +83,8 @@
 	return m.Role == fleet.Agent && m.Liveness != fleet.Dead && m.Backend.State != fleet.BackendGone
 }
 
-// isDoubtful reports whether a member is an agent that has gone without a word.
+// isDoubtful reports whether a member is an agent that is silent, and whose backend
+// server may not be.
 func isDoubtful(m *fleet.Member) bool {
 	return m.Role == fleet.Agent && m.Liveness >= fleet.Suspect && m.Backend.State != fleet.BackendGone
 }
@@ -98,9 +106,6 @@
 	if isAskable(m) {
 		b.askable += step
 	}
-	if isDoubtful(m) {
-		b.doubtful += step
-	}
 	if b.isOld(m) {
 		b.old += step
 	}
@@ -109,6 +114,29 @@
 	}
 }
 
+// noteDoubt follows an agent that goes silent, or answers again.
+func (b *Board) noteDoubt(now time.Time, m *fleet.Member) {
+	died, known := b.doubtful[m.Addr]
+	switch {
+	case !isDoubtful(m):
+		delete(b.doubtful, m.Addr)
+	case m.Liveness == fleet.Dead && died.IsZero():
+		b.doubtful[m.Addr] = now
+	case m.Liveness != fleet.Dead && (!known || !died.IsZero()):
+		b.doubtful[m.Addr] = time.Time{}
+	}
+}
+
+// isInDoubt reports whether some agent may be back and have flows.
+func (b *Board) isInDoubt(now time.Time) bool {
+	for addr, died := range b.doubtful {
+		if died.IsZero() || now.Sub(died) < lostTime || b.members[addr].Announced {
+			return true
+		}
+	}
+	return false
+}
+
 func (b *Board) joinService(m *fleet.Member) {
 	if m.Role == fleet.Agent && m.Liveness != fleet.Dead {
 		b.services[m.Backend.Service] = append(b.services[m.Backend.Service], *m)
@@ -134,13 +162,13 @@
 }
 
 // IsSettled reports whether the agents that are known are certainly all that may
-// have flows: none has gone without a word, and no new one has appeared for a while.
+// have flows: none is silent that may be back, and no new one has appeared for a while.
 func (b *Board) IsSettled(now time.Time) bool {
 	start, settle := startTime, settleTime
 	if b.IsFresh(now) {
 		start, settle = freshStartTime, freshSettleTime
 	}
-	return b.doubtful == 0 && now.Sub(b.started) >= start && now.Sub(b.lastNew) >= settle
+	return !b.isInDoubt(now) && now.Sub(b.started) >= start && now.Sub(b.lastNew) >= settle
 }
 
 // IsFresh reports whether this process and all backend servers that it knows have
