Log lines for peers met, lost and heard again; more inputs of a placement

Cause: a process that heard nobody said so only if it was a balancer, by its readiness; the line of a placed flow named the agent, but not how many there were, how busy the chosen one seemed, nor the age of the desired state.

Change: three events in both roles, and three fields.

--- a/internal/flowproc/balancer.go
+++ b/internal/flowproc/balancer.go
@@ -157,7 +157,10 @@
 func (b *Balancer) logDecision(now time.Time, d *flowbalancer.Decision) {
 	switch d.Outcome {
 	case flowbalancer.Placed:
-		b.log.flow(now, d.Key, d.Outcome.String(), false, fields{"to": d.To, logging.FieldService: d.Service, "version": b.follower.Table().Version()})
+		b.log.flow(now, d.Key, d.Outcome.String(), false, fields{
+			"to": d.To, logging.FieldService: d.Service, "version": b.follower.Table().Version(),
+			"state_age": b.follower.Age(now), "agents": len(b.board.Agents(d.Service)), "busy": b.board.Busy(d.To),
+		})
 	case flowbalancer.Replaced:
 		b.log.flow(now, d.Key, d.Outcome.String(), true, fields{"to": d.To, "unanswered_by": d.Doubted, logging.FieldService: d.Service})
 	case flowbalancer.NoRoute, flowbalancer.NoBackend, flowbalancer.NotReady:
--- a/internal/flowproc/core.go
+++ b/internal/flowproc/core.go
@@ -60,6 +60,8 @@
 	// fetching is until when no second process is asked for a state.
 	fetching  time.Time
 	storeDown bool
+	// joined and isolated are what was last logged of the other members.
+	joined, isolated bool
 	leaving   bool
 	started   time.Time
 }
@@ -164,11 +166,30 @@
 		c.role.homesChanged()
 	}
 	c.role.tick(now)
+	c.logPeers(now)
 	if c.follower.ShouldRead(now) {
 		go c.readStore(ctx, now)
 	}
 }
 
+// logPeers logs that the other members were met, lost, or are heard again.
+func (c *core) logPeers(now time.Time) {
+	if joined := c.node.Joined(); joined != c.joined {
+		c.joined = joined
+		c.log.event("met other members", fields{"members": c.node.Len(), "since_start": now.Sub(c.started)})
+	}
+	isolated := c.node.Isolated(now)
+	if isolated == c.isolated {
+		return
+	}
+	c.isolated = isolated
+	if isolated {
+		c.log.event("lost all other members; nobody is heard", fields{"members": c.node.Len()})
+		return
+	}
+	c.log.event("other members are heard again", fields{"members": c.node.Len()})
+}
+
 // followFleet carries out what the membership decided.
 func (c *core) followFleet(ctx context.Context, now time.Time, sends []fleet.Send, events []fleet.Event) {
 	c.sendMembership(sends)
--- a/internal/flowproc/flowproc_test.go
+++ b/internal/flowproc/flowproc_test.go
@@ -233,6 +233,9 @@
 		time.Sleep(4 * time.Second)
 		is.NoErr(d.balancers[0].ready())
 		is.Equal(len(d.read(d.call(0, 1001)).Answers), 1)
+		for _, line := range []string{"met other members", "lost all other members", "other members are heard again"} {
+			is.True(strings.Contains(d.logs.String(), line))
+		}
 	})
 }
 
