--- a/internal/flowproc/core.go
+++ b/internal/flowproc/core.go
@@ -62,8 +62,8 @@
 	storeDown bool
 	// joined and isolated are what was last logged of the other members.
 	joined, isolated bool
-	leaving   bool
-	started   time.Time
+	leaving          bool
+	started          time.Time
 }
 
 // newCore binds the sockets between processes.
