What waits to be passed on is bounded

Cause: the benchmark of memory at the design size took 31 s: each change that was learned looked through all that waited to be passed on, and when the whole fleet changes at once that is the whole fleet.

Change: at most 1,024 changes wait, the newest; tables bring the others. Fleets of up to 1,024 members do as before, so nothing changes on the users' sites.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -67,6 +67,9 @@
 	largeTable = tableParts * maxDatagramMembers
 	// recentMembers is the number of members whose changes are sent first when tables differ.
 	recentMembers = maxDatagramMembers
+	// maxNews bounds the changes that wait to be passed on; when so many change at once,
+	// tables bring the older ones.
+	maxNews = 1024
 	// pickTries bounds the draws when random members are chosen.
 	pickTries = 24
 )
--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -25,7 +25,7 @@
 func (n *Node) enqueue(a netip.AddrPort) {
 	n.queue = slices.DeleteFunc(n.queue, func(q news) bool { return q.addr == a })
 	repeats := bits.Len(uint(len(n.records)))/doublingsPerRepeat + newsFanout
-	n.queue = append(n.queue, news{addr: a, left: repeats})
+	n.queue = append(n.queue[max(0, len(n.queue)-maxNews+1):], news{addr: a, left: repeats})
 }
 
 // takeNews returns up to most changes to add to one message, the newest first; those
