--- a/internal/flowproc/deployment_test.go
+++ b/internal/flowproc/deployment_test.go
@@ -256,6 +256,18 @@
 	}
 }
 
+// loseEverything ends all processes and backend servers at once, and starts them again
+// without any flow.
+func (d *deployment) loseEverything(down time.Duration) {
+	d.mu.Lock()
+	for _, a := range d.agents {
+		*a.backend = *flows.NewBackend(a.backend.Name, 77)
+		a.born, a.sequence = time.Now().Add(down).UnixMilli(), 0
+	}
+	d.mu.Unlock()
+	d.killAll(down)
+}
+
 // killAll ends all processes at once, as SIGKILL does, and starts them again.
 func (d *deployment) killAll(down time.Duration) {
 	for _, b := range d.balancers {
--- a/internal/flowproc/flowproc_test.go
+++ b/internal/flowproc/flowproc_test.go
@@ -58,13 +58,7 @@
 		is := is.New(t)
 		d := deploy(t, 2, 3)
 		c := d.call(0, 1000)
-		d.mu.Lock()
-		for _, a := range d.agents {
-			*a.backend = *flows.NewBackend(a.backend.Name, 77)
-			a.born, a.sequence = time.Now().Add(time.Second).UnixMilli(), 0
-		}
-		d.mu.Unlock()
-		d.killAll(time.Second)
+		d.loseEverything(time.Second)
 		time.Sleep(300 * time.Millisecond)
 		d.ask(0, c)
 		time.Sleep(time.Second)
