The store may come back from an earlier copy of itself: positions carry an epoch

Cause: the users' store may lose what it acknowledged for some seconds, give revisions out again and drop leases (header Store-Era rises). Changes were read after a held revision, so a state written under a lower or reused revision was passed over until the next full read, and a lost place in the roster stayed empty for up to 20 s.

A read after a position of another epoch is Stale, so that the whole state is read. The roster checks its place at once. A read that finds an older state than the active one now confirms the active one: the store has no newer one. Before, such a read counted as no confirmation, and every reader would have read again at each tick.

--- a/internal/flowproc/calls.go
+++ b/internal/flowproc/calls.go
@@ -42,18 +42,18 @@
 	calls storeCalls
 }
 
-func (s countedStates) ReadState(ctx context.Context) (route.State, int64, error) {
+func (s countedStates) ReadState(ctx context.Context) (route.State, store.Position, error) {
 	begun := time.Now()
-	state, revision, err := s.StateSource.ReadState(ctx)
+	state, position, err := s.StateSource.ReadState(ctx)
 	s.calls.record("read_state", begun, err)
-	return state, revision, err
+	return state, position, err
 }
 
-func (s countedStates) ReadChange(ctx context.Context, after int64) (route.State, int64, error) {
+func (s countedStates) ReadChange(ctx context.Context, after store.Position) (route.State, store.Position, error) {
 	begun := time.Now()
-	state, revision, err := s.StateSource.ReadChange(ctx, after)
+	state, position, err := s.StateSource.ReadChange(ctx, after)
 	s.calls.record("read_change", begun, err)
-	return state, revision, err
+	return state, position, err
 }
 
 // countedRoster is a store of rosters that counts its calls.
--- a/internal/flowproc/config.go
+++ b/internal/flowproc/config.go
@@ -17,17 +17,18 @@
 	"github.com/almondledge/almondledge/internal/network"
 	"github.com/almondledge/almondledge/internal/roster"
 	"github.com/almondledge/almondledge/internal/route"
+	"github.com/almondledge/almondledge/internal/store"
 )
 
 // StateSource is the store in which operators keep the desired state.
 type StateSource interface {
-	// ReadState returns the newest desired state and its revision in the store. Errors carry a kind
+	// ReadState returns the newest desired state and its position in the store. Errors carry a kind
 	// of package errkind; Invalid means that the stored state is unusable.
-	ReadState(ctx context.Context) (route.State, int64, error)
-	// ReadChange returns the newest state after a revision. If there is no newer state, it returns a zero
-	// state and the given revision, and the store transfers only a few bytes. An error of kind Stale means
-	// that the store no longer has the changes since that revision.
-	ReadChange(ctx context.Context, revision int64) (route.State, int64, error)
+	ReadState(ctx context.Context) (route.State, store.Position, error)
+	// ReadChange returns the newest state after a position. If there is no newer state, it returns a zero
+	// state and the given position, and the store transfers only a few bytes. An error of kind Stale means
+	// that the store no longer has the changes since that position.
+	ReadChange(ctx context.Context, after store.Position) (route.State, store.Position, error)
 }
 
 // Common is the configuration that balancers and agents share.
@@ -75,7 +76,9 @@
 	States  StateSource
 	// Roster stores the addresses of balancers for first contact; if nil, only the seeds are used.
 	Roster roster.Store
-	Log    log.Interface
+	// Restored receives a value when the store was restored from an earlier copy. It may be nil.
+	Restored <-chan struct{}
+	Log      log.Interface
 	// Ring is the buffer behind Log; samples of ordinary decisions are logged only while it has
 	// room. It may be nil.
 	Ring *logring.Writer
--- a/internal/flowproc/contact.go
+++ b/internal/flowproc/contact.go
@@ -62,6 +62,6 @@
 	}
 	roster.Run(ctx, roster.Config{
 		Store: c.opt.Roster, DataCentre: c.cfg.DataCentre, Self: c.cfg.Peer,
-		FirstCheck: rosterFirstCheck, Log: c.opt.Log,
+		FirstCheck: rosterFirstCheck, Restored: c.opt.Restored, Log: c.opt.Log,
 	})
 }
--- a/internal/flowproc/core.go
+++ b/internal/flowproc/core.go
@@ -14,6 +14,7 @@
 	"github.com/almondledge/almondledge/internal/placement"
 	"github.com/almondledge/almondledge/internal/route"
 	"github.com/almondledge/almondledge/internal/statesync"
+	"github.com/almondledge/almondledge/internal/store"
 	"github.com/almondledge/almondledge/internal/udpbatch"
 )
 
@@ -49,9 +50,9 @@
 	node      *fleet.Node
 	directory *placement.Directory
 	follower  *statesync.Follower
-	// revision is the store's revision of the newest state that this process has read, and lastRead
+	// position is the position in the store of the newest state that this process has read, and lastRead
 	// when it last read a full state.
-	revision int64
+	position store.Position
 	lastRead time.Time
 	// balancers lists the alive balancers in the order of reading the store.
 	balancers []netip.AddrPort
--- a/internal/flowproc/flowproc_test.go
+++ b/internal/flowproc/flowproc_test.go
@@ -99,6 +99,36 @@
 	})
 }
 
+// The store comes back twice from an earlier copy, which lacks the active state, and gives out the same
+// revisions again. No process goes back to the copy's state, and what is written next becomes active in time.
+func TestStatesOfARestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := deploy(t, 3, 3)
+		port := uint16(1000)
+		refused := func() (count int) {
+			for i := range 3 {
+				port++
+				if c := d.call(i, port); d.read(c).Reset {
+					count++
+				}
+			}
+			return count
+		}
+		for version := uint64(10); version < 30; version += 10 {
+			d.store.set(route.State{Version: version, IdleTimeout: time.Minute}) // without a route
+			time.Sleep(3 * time.Second)
+			is.Equal(refused(), 3)
+			d.store.restore(stateFor(2), 1) // the copy has the route
+			time.Sleep(10 * time.Second)    // longer than the period of full reads
+			is.Equal(refused(), 3)
+			d.store.set(stateFor(version + 5)) // under a revision that another state had before
+			time.Sleep(2 * time.Second)
+			is.Equal(refused(), 0)
+		}
+	})
+}
+
 func TestStateArrivesWhenTheFirstReaderIsCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/flowproc/state.go
+++ b/internal/flowproc/state.go
@@ -11,6 +11,7 @@
 	"github.com/almondledge/almondledge/internal/logging"
 	"github.com/almondledge/almondledge/internal/route"
 	"github.com/almondledge/almondledge/internal/statesync"
+	"github.com/almondledge/almondledge/internal/store"
 )
 
 const (
@@ -27,7 +28,7 @@
 func (c *core) readStore(ctx context.Context, begun time.Time) {
 	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	state, revision, err := c.queryStore(readCtx, begun)
+	state, position, err := c.queryStore(readCtx, begun)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if ctx.Err() != nil {
@@ -39,12 +40,15 @@
 	}
 	if c.storeDown {
 		c.storeDown = false
-		c.log.event("platform's store is reachable again", fields{"revision": revision})
+		c.log.event("platform's store is reachable again", fields{"revision": position.Revision})
 	}
 	if state.Version == 0 {
 		c.follower.ReadUnchanged(begun)
 	} else {
-		c.revision, c.lastRead = max(c.revision, revision), begun
+		if position.Epoch != c.position.Epoch || position.Revision > c.position.Revision {
+			c.position = position
+		}
+		c.lastRead = begun
 		if c.follower.ReadSucceeded(begun, state) {
 			c.stateApplied("store", time.Since(begun))
 		}
@@ -54,15 +58,15 @@
 	c.sendMembership(sends)
 }
 
-// queryStore reads changes since the last revision. It reads the full state if the last full read
-// was too long ago or the store no longer has the changes. It returns a zero state if nothing
-// changed.
-func (c *core) queryStore(ctx context.Context, now time.Time) (route.State, int64, error) {
+// queryStore reads changes since the last position. It reads the full state if the last full read
+// was too long ago, or if the store no longer has the changes or was restored from an earlier copy. It returns
+// a zero state if nothing changed.
+func (c *core) queryStore(ctx context.Context, now time.Time) (route.State, store.Position, error) {
 	c.mu.Lock()
-	revision, lastRead := c.revision, c.lastRead
+	position, lastRead := c.position, c.lastRead
 	c.mu.Unlock()
-	if revision > 0 && now.Sub(lastRead) < fullReadPeriod {
-		state, newest, err := c.opt.States.ReadChange(ctx, revision)
+	if position.Revision > 0 && now.Sub(lastRead) < fullReadPeriod {
+		state, newest, err := c.opt.States.ReadChange(ctx, position)
 		if !errkind.Is(err, errkind.Stale) {
 			return state, newest, err
 		}
--- a/internal/roster/holder.go
+++ b/internal/roster/holder.go
@@ -37,6 +37,8 @@
 	Lease store.LeaseID
 
 	claimPending bool
+	// checkPending is set while the place must be read again before its lease is renewed.
+	checkPending bool
 	// renewedAt is when the last successful claim or renewal was sent.
 	renewedAt time.Time
 	nextAt    time.Time
@@ -56,6 +58,8 @@
 	switch {
 	case now.Before(h.nextAt):
 		return Wait, h.nextAt
+	case h.checkPending:
+		return Read, now
 	case h.Lease != 0:
 		return Renew, now
 	case h.claimPending:
@@ -65,11 +69,38 @@
 	}
 }
 
+// HandleRestore handles the restoration of the store from an earlier copy. The copy
+// may lack the place of this balancer or its lease, so both are checked at once.
+func (h *Holder) HandleRestore(now time.Time) {
+	h.checkPending = true
+	h.nextAt = now
+}
+
 // HandleRead handles the result of the step Read. It selects a random free place,
-// or schedules the next check if no place is free or the read failed.
+// or schedules the next check if no place is free or the read failed. If the
+// balancer still holds its place after a restoration of the store, it renews the
+// lease at once.
 func (h *Holder) HandleRead(now time.Time, snapshot store.Snapshot, err error, random float64) {
+	if h.checkPending && err != nil {
+		h.nextAt = now.Add(LeaseTTL / retriesPerTTL)
+		return
+	}
+	wasCheck := h.checkPending
+	h.checkPending = false
+	if wasCheck && h.Lease != 0 {
+		if holdsPlace(h.DataCentre, h.Place, h.Self, snapshot) {
+			h.nextAt = now
+			return
+		}
+		h.losePlace(now)
+	}
 	free := freePlaces(h.DataCentre, h.Self, snapshot)
-	if err != nil || len(free) == 0 {
+	switch {
+	case wasCheck && len(free) == 0:
+		// An entry of the copy may be this balancer's own, without a lease that it can renew.
+		h.nextAt = now.Add(LeaseTTL)
+		return
+	case err != nil || len(free) == 0:
 		h.scheduleCheck(now, random)
 		return
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -103,6 +103,14 @@
 	return contacts, err
 }
 
+// holdsPlace reports whether a place is held by self.
+func holdsPlace(dataCentre string, place int, self netip.AddrPort, snapshot store.Snapshot) bool {
+	return slices.ContainsFunc(snapshot.Entries, func(entry store.Entry) bool {
+		var found Entry
+		return entry.Key == placeKey(dataCentre, place) && json.Unmarshal(entry.Value, &found) == nil && found.Address == self
+	})
+}
+
 // freePlaces returns the places that no balancer holds. It returns an empty list
 // if self already holds a place.
 func freePlaces(dataCentre string, self netip.AddrPort, snapshot store.Snapshot) []int {
--- a/internal/roster/run.go
+++ b/internal/roster/run.go
@@ -25,6 +25,9 @@
 	// FirstCheck is the time within which the balancer first reads the roster. Zero
 	// means CheckInterval.
 	FirstCheck time.Duration
+	// Restored receives a value when the store was restored from an earlier copy. Nil
+	// means never.
+	Restored <-chan struct{}
 	// Random returns numbers in [0, 1). Nil means math/rand.
 	Random func() float64
 	// Log receives one event for each change of the place. Nil means the default logger.
@@ -69,6 +72,8 @@
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
+		case <-r.Restored:
+			r.holder.HandleRestore(time.Now())
 		}
 	case Read:
 		snapshot, err := r.Store.Range(ctx, rosterPrefix(r.DataCentre))
--- a/internal/statesync/follower.go
+++ b/internal/statesync/follower.go
@@ -125,9 +125,8 @@
 	f.reading = false
 	f.failures = 0
 	f.jitter = time.Duration(f.rand.Int64N(int64(readAgeJitter)))
-	if s.Version < f.table.Version() {
-		return false // a newer state was received during the read
-	}
+	// An older state was read if a newer one was received during the read, or if the store was restored from
+	// an earlier copy. The active state stays, and it is confirmed, too: the store has no newer one.
 	f.confirm(begun)
 	return f.Offer(s)
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -21,6 +21,15 @@
 	Lease LeaseID
 }
 
+// Position is a point in the history of the store.
+type Position struct {
+	// Epoch identifies the history. The store begins a new one when it is restored from an earlier copy:
+	// changes since that copy are lost, also leases, and revisions are given out again. Epochs are compared for
+	// equality only. Zero means unknown.
+	Epoch    uint64
+	Revision int64
+}
+
 // Snapshot is the result of a range read at one revision.
 type Snapshot struct {
 	// Entries are sorted by key.
