Agents queue opening packets while their backend servers are overloaded

Cause: after everything returns, the waiting callers and the new ones together exceed the backend servers' capacity for some seconds.

Hypothesis: with a short queue at the backend server (1.5 requests in progress a slot) and a bounded queue at the agent that is served by priority and newest first, callers that arrive now are answered in time and the late ones get the rest. Package openqueue holds the order; its test plays the storm against dropping, refusing at once and arrival order.

A packet that waits at one agent and moves on carries how long it has waited (hop.Forward.Waited); an agent of an earlier release takes such a packet for damaged, so that the caller's next copy counts while a fleet is upgraded.

Choose no longer counts the flow as placed; RecordPlacement does, so that a choice which is not taken leaves no load behind.

--- a/internal/flowagent/backend.go
+++ b/internal/flowagent/backend.go
@@ -73,10 +73,15 @@
 
 // notify returns a notice that informs a balancer that this agent has a flow or has refused it.
 func (a *Agent) notify(balancer flow.Endpoint, key flow.Key, refused bool) []hop.Send {
+	return a.sendNotice(balancer, hop.Notice{Key: key, Refused: refused})
+}
+
+// sendNotice adds this agent's load to a notice and returns it for a balancer.
+func (a *Agent) sendNotice(balancer flow.Endpoint, n hop.Notice) []hop.Send {
 	if balancer == (flow.Endpoint{}) {
 		return nil
 	}
 	load := a.Load()
-	n := hop.Notice{Key: key, Flows: load.Flows, Active: load.Active, Refused: refused}
+	n.Flows, n.Active = load.Flows, load.Active
 	return []hop.Send{{To: balancer.AddrPort(), Payload: n.AppendTo(nil)}}
 }
--- a/internal/flowagent/flowagent.go
+++ b/internal/flowagent/flowagent.go
@@ -18,6 +18,7 @@
 	"github.com/almondledge/almondledge/internal/flow"
 	"github.com/almondledge/almondledge/internal/flowtable"
 	"github.com/almondledge/almondledge/internal/hop"
+	"github.com/almondledge/almondledge/internal/openqueue"
 	"github.com/almondledge/almondledge/internal/placement"
 	"github.com/almondledge/almondledge/internal/route"
 )
@@ -39,9 +40,8 @@
 	Probed
 	// Forwarded packets were sent to another agent.
 	Forwarded
-	// Deferred opening packets were dropped because all backend servers are overloaded; the
-	// caller's next copy may be accepted.
-	Deferred
+	// Queued opening packets wait at this agent because all backend servers are overloaded.
+	Queued
 	// Refused opening packets were answered with a reset because no backend server accepted them.
 	Refused
 	// FlowReset packets were answered with a reset because no backend server holds their flow any
@@ -59,7 +59,7 @@
 )
 
 // Outcomes lists the printed names of all outcomes, in the order of the constants.
-var Outcomes = [...]string{"malformed", "delivered", "opened", "probed", "passed", "deferred", "refused", "ended", "searched", "lost", "claimed", "replied"}
+var Outcomes = [...]string{"malformed", "delivered", "opened", "probed", "passed", "queued", "refused", "ended", "searched", "lost", "claimed", "replied"}
 
 // String returns the outcome as logs show it.
 func (o Outcome) String() string { return Outcomes[o] }
@@ -79,6 +79,8 @@
 	// AnswerLatency is the time from a flow's opening packet to the backend server's first answer. It is zero
 	// for all packets except that answer.
 	AnswerLatency time.Duration
+	// Waited is how long an opening packet has waited in the queue.
+	Waited time.Duration
 	// ToBackend is the packet to send to the backend server, modified in place, or nil.
 	ToBackend []byte
 	Replies   []Reply
@@ -95,22 +97,8 @@
 	notHeldTableSize = 8192
 	// maxSentPackets bounds the packets sent to the backend server whose routing information is kept.
 	maxSentPackets = 4096
-)
-
-// Overload limits. An opening packet goes to another agent if the backend server has at least
-// the given number of requests in progress per slot.
-const (
-	// maxActivePerSlot applies to the first opening packet of a flow.
-	maxActivePerSlot = 3
-	// maxActivePerSlotForCopies applies to copies of an opening packet.
-	maxActivePerSlotForCopies = 2
-	// extraActivePerSlot is added to both limits for routes above the lowest priority.
-	extraActivePerSlot = 1
-	// lastCopy is the number of the last copy that a caller sends; the first opening packet is
-	// number zero.
-	lastCopy = 2
-	// maxOverloadForwards bounds the overloaded agents that forward one opening packet.
-	maxOverloadForwards = 2
+	// queueSize bounds the opening packets that wait for the backend server.
+	queueSize = 256
 )
 
 // Timeouts and margins.
@@ -163,8 +151,10 @@
 	// claims records the owners of flows for which this agent is a home agent.
 	claims *simplelru.LRU[flow.Key, flow.Endpoint]
 	// notHeld maps flows that the backend server does not hold to the time at which their entry expires.
-	notHeld     *simplelru.LRU[flow.Key, time.Time]
-	searches    *simplelru.LRU[flow.Key, *search]
+	notHeld  *simplelru.LRU[flow.Key, time.Time]
+	searches *simplelru.LRU[flow.Key, *search]
+	// queue holds the opening packets that wait for the backend server.
+	queue       *openqueue.Queue
 	sentPackets [maxSentPackets]sentPacket
 	lastCookie  uint32
 }
@@ -181,6 +171,7 @@
 		claims:        newLRU[flow.Endpoint](claimTableSize),
 		notHeld:       newLRU[time.Time](notHeldTableSize),
 		searches:      newLRU[*search](searchTableSize),
+		queue:         openqueue.New(queueSize),
 	}
 }
 
@@ -198,9 +189,11 @@
 // Backend returns the last known state of the backend server.
 func (a *Agent) Backend() fleet.Backend { return a.backend }
 
-// Load returns the numbers of open flows and of requests in progress.
+// Load returns the numbers of open flows and of requests in progress, including those of the flows that wait
+// to be opened.
 func (a *Agent) Load() fleet.Load {
-	return fleet.Load{Flows: uint16(min(a.flows.Open(), 65535)), Active: uint16(min(a.flows.Active(), 65535))}
+	active := a.flows.Active() + a.queue.Len()
+	return fleet.Load{Flows: uint16(min(a.flows.Open(), 65535)), Active: uint16(min(active, 65535))}
 }
 
 // Flows returns the number of flows in the table, including those that ended recently.
@@ -220,6 +213,7 @@
 		{"claims", a.claims.Len, claimTableSize},
 		{"foreign", a.notHeld.Len, notHeldTableSize},
 		{"searches", a.searches.Len, searchTableSize},
+		{"queue", a.queue.Len, queueSize},
 	}
 }
 
@@ -250,7 +244,7 @@
 	return d
 }
 
-// Tick expires old flows and advances searches. If homeAgentsChanged is set, it also sends ownership
+// Tick expires old flows, and advances searches and the queue. If homeAgentsChanged is set, it also sends ownership
 // claims for the flows whose home agents have changed.
 func (a *Agent) Tick(now time.Time, homeAgentsChanged bool) []Decision {
 	idle := a.routes.IdleTimeout()
@@ -259,6 +253,7 @@
 	}
 	a.flows.Expire(now, idle+idleMargin)
 	decisions := a.advanceSearches(now)
+	decisions = a.advanceQueue(now, decisions)
 	if homeAgentsChanged {
 		decisions = append(decisions, Decision{Outcome: Claimed, Sends: a.renewClaims()})
 	}
--- a/internal/flowagent/forward.go
+++ b/internal/flowagent/forward.go
@@ -42,9 +42,13 @@
 		return a.deliverOpening(now, f, p, e)
 	}
 	if reason := a.refusalReason(f, p); reason != "" {
+		a.queue.Remove(key)
 		return a.forwardOpening(now, f, p, reason)
 	}
-	if a.isOverloaded(p) {
+	if a.queue.Holds(key) {
+		return a.enqueue(now, f, p)
+	}
+	if !a.hasRoom() {
 		return a.offloadOpening(now, f, p)
 	}
 	return a.deliverOpening(now, f, p, a.flows.Begin(now, key, f.Balancer))
@@ -78,58 +82,6 @@
 	return ""
 }
 
-// isOverloaded reports whether a new flow's request would wait too long at the backend server. The
-// limit is lower for copies of an opening packet, whose requests are late in any case, and higher
-// for routes above the lowest priority.
-func (a *Agent) isOverloaded(p *flow.Packet) bool {
-	limit := maxActivePerSlot
-	if p.Ack > 0 {
-		limit = maxActivePerSlotForCopies
-	}
-	if r := a.routes.Lookup(p.Dst); r != nil && r.Priority < a.routes.LowestPriority() {
-		limit += extraActivePerSlot
-	}
-	return a.flows.Active() >= limit*int(max(1, a.backend.Slots))
-}
-
-// offloadOpening forwards an opening packet to an agent that is not overloaded. If no such agent is found,
-// the packet is dropped, because the caller's next copy may be accepted. Only the last copy is answered with
-// a reset: without it, the caller would wait although no copy follows.
-func (a *Agent) offloadOpening(now time.Time, f hop.Forward, p *flow.Packet) Decision {
-	d := Decision{Outcome: Deferred, Key: p.CallerKey(), Reason: "crowded"}
-	d.Sends = a.notify(f.Balancer, d.Key, true)
-	f.Visited = append(slices.Clip(f.Visited), a.self)
-	if len(f.Visited) <= maxOverloadForwards {
-		to, found := a.chooseLessBusy(now, &f, p)
-		if found && a.cfg.Directory.RequestsPerSlot(to) < maxActivePerSlot {
-			d.Outcome = Forwarded
-			d.Sends = append(d.Sends, hop.Send{To: to, Payload: f.AppendTo(nil)})
-			return d
-		}
-	}
-	if p.Ack >= lastCopy {
-		d.Outcome = Refused
-		d.Replies = []Reply{{d.Key.Caller, a.cfg.Codec.Reset(d.Key, 0)}}
-	}
-	return d
-}
-
-// chooseLessBusy returns another agent for an opening packet, by the newer of this agent's desired state and
-// that of the packet's last sender. It considers other services of the route only if this agent's state has
-// the route and is not older than the sender's.
-func (a *Agent) chooseLessBusy(now time.Time, f *hop.Forward, p *flow.Packet) (netip.AddrPort, bool) {
-	skip := func(candidate netip.AddrPort) bool {
-		return slices.Contains(f.Visited, flow.EndpointOf(candidate))
-	}
-	r := a.routes.Lookup(p.Dst)
-	if f.Version > a.routes.Version() || r == nil {
-		return a.cfg.Directory.Choose(now, a.cfg.Service, skip)
-	}
-	to, service, found := a.cfg.Directory.ChooseAmong(now, r, a.cfg.Service, skip)
-	f.Version, f.Service = a.routes.Version(), placement.ServiceHash(service)
-	return to, found
-}
-
 // forwardOpening forwards an opening packet to another agent. If no other agent can be chosen, it answers
 // with a reset at once, which tells the caller that no request has run.
 func (a *Agent) forwardOpening(now time.Time, f hop.Forward, p *flow.Packet, reason string) Decision {
@@ -145,6 +97,7 @@
 		d.Replies = []Reply{{d.Key.Caller, a.cfg.Codec.Reset(d.Key, 0)}}
 		return d
 	}
+	a.cfg.Directory.RecordPlacement(to)
 	d.Outcome = Forwarded
 	d.Sends = append(d.Sends, hop.Send{To: to, Payload: f.AppendTo(nil)})
 	return d
--- a/internal/flowagent/world_test.go
+++ b/internal/flowagent/world_test.go
@@ -126,6 +126,7 @@
 	cl.now = cl.now.Add(d)
 	for _, n := range cl.nodes {
 		cl.execute(n, n.agent.Tick(cl.now, false)...)
+		cl.releaseQueued(n)
 	}
 }
 
@@ -253,10 +254,18 @@
 		}
 		for _, raw := range n.backend.Handle(d.ToBackend) {
 			cl.execute(n, n.agent.HandleBackend(cl.now, raw))
+			cl.releaseQueued(n)
 		}
 	}
 }
 
+// releaseQueued executes the decisions about the opening packets that can leave an agent's queue.
+func (cl *cluster) releaseQueued(n *node) {
+	for d, released := n.agent.ReleaseQueued(cl.now); released; d, released = n.agent.ReleaseQueued(cl.now) {
+		cl.execute(n, d)
+	}
+}
+
 // replaceEverything replaces all processes and backend servers by new ones.
 func (cl *cluster) replaceEverything() {
 	cl.replaceBalancer()
--- a/internal/flowbalancer/flowbalancer.go
+++ b/internal/flowbalancer/flowbalancer.go
@@ -146,6 +146,7 @@
 	if !found {
 		return b.refuse(d, NoBackend, b.converged)
 	}
+	b.directory.RecordPlacement(agent)
 	b.owners.Add(key, owner{agent: agent, placedAt: now})
 	f := hop.Forward{Version: b.routes.Version(), Service: placement.ServiceHash(d.Service)}
 	return b.forward(d, agent, f, p, buf)
@@ -208,7 +209,9 @@
 func (b *Balancer) HandleNotice(now time.Time, from netip.AddrPort, n hop.Notice) {
 	b.directory.RecordLoad(from, n.Flows, n.Active)
 	if n.Refused {
-		b.directory.MarkFull(now, from)
+		if !n.Overloaded {
+			b.directory.MarkFull(now, from)
+		}
 		if known, ok := b.owners.Peek(n.Key); ok && known.agent == from {
 			b.owners.Remove(n.Key)
 		}
--- a/internal/flowproc/agent.go
+++ b/internal/flowproc/agent.go
@@ -150,11 +150,23 @@
 		now := time.Now()
 		for i := range count {
 			a.execute(now, a.agent.HandleBackend(now, reader.Datagram(i)))
+			a.releaseQueued(now)
 		}
 		a.mu.Unlock()
 	}
 }
 
+// releaseQueued executes the decisions about the opening packets that can leave the agent's queue.
+func (a *Agent) releaseQueued(now time.Time) {
+	for {
+		d, released := a.agent.ReleaseQueued(now)
+		if !released {
+			return
+		}
+		a.execute(now, d)
+	}
+}
+
 // execute sends the packets of a decision, counts its outcome and logs it.
 func (a *Agent) execute(now time.Time, d flowagent.Decision) {
 	a.metrics.outcomes[d.Outcome].Inc()
@@ -174,8 +186,8 @@
 	}
 	switch d.Outcome {
 	case flowagent.Opened:
-		a.log.flow(now, d.Key, d.Outcome.String(), false, fields{"open": a.agent.Load().Flows, "active": a.agent.Load().Active, "version": a.follower.Table().Version()})
-	case flowagent.Deferred:
+		a.log.flow(now, d.Key, d.Outcome.String(), false, fields{"open": a.agent.Load().Flows, "active": a.agent.Load().Active, "waited": d.Waited, "version": a.follower.Table().Version()})
+	case flowagent.Queued:
 		a.log.flow(now, d.Key, d.Outcome.String(), true, fields{"reason": d.Reason, "active": a.agent.Load().Active, "open": a.agent.Load().Flows})
 	case flowagent.Refused, flowagent.FlowReset, flowagent.Unresolved, flowagent.Probed:
 		a.log.flow(now, d.Key, d.Outcome.String(), true, fields{"reason": d.Reason, "backend": a.agent.Backend().State, "born": a.agent.Backend().StartMillis})
@@ -238,4 +250,5 @@
 	if b, changed := a.reports.Tick(now); changed {
 		a.setBackend(now, b, "")
 	}
+	a.releaseQueued(now)
 }
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -7,7 +7,9 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"net/netip"
+	"time"
 
 	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/flow"
@@ -52,6 +54,7 @@
 const (
 	endpointSize      = 6
 	forwardHeaderSize = 1 + 1 + 1 + endpointSize + 8 + 4
+	waitedSize        = 2
 	noticeSize        = 1 + flow.KeySize + 4 + 1
 	claimHeaderSize   = 1 + endpointSize + 1
 	// MaxClaims bounds the flows in one claim.
@@ -76,13 +79,20 @@
 	Service uint32
 	// Visited lists the agents that have forwarded the packet.
 	Visited []flow.Endpoint
-	Packet  []byte
+	// Waited is how long an opening packet has waited at agents, in whole milliseconds up to MaxWaited.
+	Waited time.Duration
+	Packet []byte
 }
 
+// MaxWaited is the longest wait that a forwarded packet can state.
+const MaxWaited = math.MaxUint16 * time.Millisecond
+
 // Bits of the flags of a forwarded packet.
 const (
 	flagOwnerKnown = 1 << iota
 	flagSearch
+	// flagWaited marks a datagram in which the waiting time stands before the packet.
+	flagWaited
 )
 
 // AppendTo appends the encoded datagram to b.
@@ -94,6 +104,9 @@
 	if f.Search {
 		flags |= flagSearch
 	}
+	if f.Waited > 0 {
+		flags |= flagWaited
+	}
 	b = append(b, byte(TypeForward), flags, byte(len(f.Visited)))
 	b = appendEndpoint(b, f.Balancer)
 	b = binary.BigEndian.AppendUint64(b, f.Version)
@@ -101,6 +114,9 @@
 	for _, v := range f.Visited {
 		b = appendEndpoint(b, v)
 	}
+	if f.Waited > 0 {
+		b = binary.BigEndian.AppendUint16(b, uint16(min(f.Waited, MaxWaited).Milliseconds()))
+	}
 	return append(b, f.Packet...)
 }
 
@@ -128,6 +144,13 @@
 		f.Visited = append(f.Visited, decodeEndpoint(rest))
 		rest = rest[endpointSize:]
 	}
+	if b[1]&flagWaited != 0 {
+		if len(rest) < waitedSize {
+			return Forward{}, malformed("forwarded packet")
+		}
+		f.Waited = time.Duration(binary.BigEndian.Uint16(rest)) * time.Millisecond
+		rest = rest[waitedSize:]
+	}
 	f.Packet = rest
 	return f, nil
 }
@@ -140,18 +163,30 @@
 	// Refused is set when the agent did not accept an opening packet, so that it does not have the
 	// flow.
 	Refused bool
+	// Overloaded is set with Refused if the only reason is the load that the notice states.
+	Overloaded bool
 }
 
+// Bits of the flags of a notice.
+const (
+	flagRefused = 1 << iota
+	flagOverloaded
+)
+
 // AppendTo appends the encoded datagram to b.
 func (n *Notice) AppendTo(b []byte) []byte {
 	b = append(b, byte(TypeNotice))
 	b = n.Key.AppendTo(b)
 	b = binary.BigEndian.AppendUint16(b, n.Flows)
 	b = binary.BigEndian.AppendUint16(b, n.Active)
+	var flags byte
 	if n.Refused {
-		return append(b, 1)
+		flags |= flagRefused
+	}
+	if n.Overloaded {
+		flags |= flagOverloaded
 	}
-	return append(b, 0)
+	return append(b, flags)
 }
 
 // DecodeNotice reads a notice.
@@ -164,7 +199,7 @@
 		Key:     flow.DecodeKey(b[1:]),
 		Flows:   binary.BigEndian.Uint16(rest),
 		Active:  binary.BigEndian.Uint16(rest[2:]),
-		Refused: rest[4] != 0,
+		Refused: rest[4]&flagRefused != 0, Overloaded: rest[4]&flagOverloaded != 0,
 	}, nil
 }
 
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -120,36 +120,26 @@
 	return l
 }
 
-// Choose returns the agent for a new flow to a service, or false if no agent outside of skip
-// accepts flows. Agents that are currently avoided are chosen only if there is no other.
-func (d *Directory) Choose(now time.Time, service string, skip func(netip.AddrPort) bool) (netip.AddrPort, bool) {
-	best, found := d.best(now, service, skip)
-	if found {
-		d.load(best).placed++
-	}
-	return best, found
-}
+// RecordPlacement counts a new flow that this process has sent to an agent, until the agent reports its load.
+func (d *Directory) RecordPlacement(agent netip.AddrPort) { d.load(agent).placed++ }
 
 // ChooseAmong returns the agent for a new flow of a route, and that agent's service. If service, which the
 // route has picked, is overloaded or has no agent, another service of the route takes the flow.
 func (d *Directory) ChooseAmong(now time.Time, r *route.Route, service string, skip func(netip.AddrPort) bool) (agent netip.AddrPort, chosen string, found bool) {
-	agent, found = d.best(now, service, skip)
+	agent, found = d.Choose(now, service, skip)
 	chosen = service
 	if !found || d.RequestsPerSlot(agent) >= overloadThreshold {
 		for _, share := range r.Shares {
 			if share.Weight == 0 || share.Service == service {
 				continue
 			}
-			other, ok := d.best(now, share.Service, skip)
+			other, ok := d.Choose(now, share.Service, skip)
 			if ok && (!found || d.RequestsPerSlot(other) <= spareThreshold) {
 				agent, chosen, found = other, share.Service, true
 				break
 			}
 		}
 	}
-	if found {
-		d.load(agent).placed++
-	}
 	return agent, chosen, found
 }
 
@@ -160,7 +150,9 @@
 	return (l.active + l.placed) / max(1, float64(d.members[agent].Backend.Slots))
 }
 
-func (d *Directory) best(now time.Time, service string, skip func(netip.AddrPort) bool) (netip.AddrPort, bool) {
+// Choose returns the agent for a new flow to a service, or false if no agent outside of skip
+// accepts flows. Agents that are currently avoided are chosen only if there is no other.
+func (d *Directory) Choose(now time.Time, service string, skip func(netip.AddrPort) bool) (netip.AddrPort, bool) {
 	best, found := netip.AddrPort{}, false
 	bestCost, bestAvoided := 0.0, false
 	for i := range d.services[service] {
--- a/internal/placement/board_test.go
+++ b/internal/placement/board_test.go
@@ -36,6 +36,7 @@
 	got := map[byte]int{}
 	for range count {
 		if a, ok := d.Choose(start, "s", skipNone); ok {
+			d.RecordPlacement(a)
 			got[a.Addr().As4()[3]]++
 		}
 	}
