Agents avoid backend servers whose requests break

Cause: a backend server that goes down and up accepts flows and breaks their requests at once.

Change: package outlier judges a backend server by the results of its requests (three failures in a row, or more than a quarter of the last twenty). Its agent passes new flows on, tests the backend server with single flows after a growing pause, and keeps them if three agents in a row pass a flow on (panic threshold).

--- a/internal/flowagent/backend.go
+++ b/internal/flowagent/backend.go
@@ -22,6 +22,7 @@
 	before := flowtable.Ended
 	if e := a.flows.Get(key); e != nil {
 		before = e.Phase
+		d.JudgementChanged = a.recordResult(now, e, &p)
 	}
 	e, unknown := a.flows.RecordBackendPacket(now, key, &p)
 	if e == nil {
@@ -40,6 +41,21 @@
 	return d
 }
 
+// recordResult records the result of a flow's request, if a packet of the backend server shows it, and reports
+// whether the judgement on the backend server has changed.
+func (a *Agent) recordResult(now time.Time, e *flowtable.Entry, p *flow.Packet) bool {
+	switch {
+	case !e.AwaitsAnswer():
+		return false
+	case p.Length > 0:
+		return a.detector.Record(now, false)
+	case e.EndsWithoutAnswer(p):
+		return a.detector.Record(now, true)
+	default:
+		return false
+	}
+}
+
 // handleReturned decides what to do with a caller's packet that the backend server did not accept and
 // returned.
 func (a *Agent) handleReturned(now time.Time, p *flow.Packet) Decision {
--- a/internal/flowagent/flowagent.go
+++ b/internal/flowagent/flowagent.go
@@ -19,6 +19,7 @@
 	"github.com/almondledge/almondledge/internal/flowtable"
 	"github.com/almondledge/almondledge/internal/hop"
 	"github.com/almondledge/almondledge/internal/openqueue"
+	"github.com/almondledge/almondledge/internal/outlier"
 	"github.com/almondledge/almondledge/internal/placement"
 	"github.com/almondledge/almondledge/internal/route"
 )
@@ -79,6 +80,8 @@
 	// AnswerLatency is the time from a flow's opening packet to the backend server's first answer. It is zero
 	// for all packets except that answer.
 	AnswerLatency time.Duration
+	// JudgementChanged is set if the agent begins or ends to avoid its backend server (see Agent.Avoided).
+	JudgementChanged bool
 	// Waited is how long an opening packet has waited in the queue.
 	Waited time.Duration
 	// ToBackend is the packet to send to the backend server, modified in place, or nil.
@@ -154,7 +157,9 @@
 	notHeld  *simplelru.LRU[flow.Key, time.Time]
 	searches *simplelru.LRU[flow.Key, *search]
 	// queue holds the opening packets that wait for the backend server.
-	queue       *openqueue.Queue
+	queue *openqueue.Queue
+	// detector judges the backend server by the results of its requests.
+	detector    outlier.Detector
 	sentPackets [maxSentPackets]sentPacket
 	lastCookie  uint32
 }
@@ -189,6 +194,9 @@
 // Backend returns the last known state of the backend server.
 func (a *Agent) Backend() fleet.Backend { return a.backend }
 
+// Avoided reports whether new flows go to other agents because requests fail at the backend server.
+func (a *Agent) Avoided() bool { return a.detector.Avoided() }
+
 // Load returns the numbers of open flows and of requests in progress, including those of the flows that wait
 // to be opened.
 func (a *Agent) Load() fleet.Load {
@@ -232,6 +240,7 @@
 	if !restarted && !gone {
 		return d
 	}
+	a.detector.Forget()
 	a.flows.Visit(func(key flow.Key, e *flowtable.Entry) {
 		if restarted && e.FirstSeenMillis() >= b.StartMillis {
 			return // opened at the new backend server before its first report
--- a/internal/flowagent/forward.go
+++ b/internal/flowagent/forward.go
@@ -45,6 +45,10 @@
 		a.queue.Remove(key)
 		return a.forwardOpening(now, f, p, reason)
 	}
+	if d, avoided := a.avoidBackend(now, f, p); avoided {
+		a.queue.Remove(key)
+		return d
+	}
 	if a.queue.Holds(key) {
 		return a.enqueue(now, f, p)
 	}
--- a/internal/flowagent/overload.go
+++ b/internal/flowagent/overload.go
@@ -86,10 +86,10 @@
 	o.Deadline = o.Begun.Add(patience - queueMargin)
 	d := Decision{Outcome: Queued, Key: o.Key, Reason: "crowded"}
 	if a.queue.IsFull() && !a.queue.Holds(o.Key) {
-		last := *a.queue.Last()
-		if !o.Before(&last) {
+		if !a.queue.PrecedesLast(o) {
 			return a.refuseQueued(&o, "queue_full")
 		}
+		last := *a.queue.Last()
 		a.queue.Remove(last.Key)
 		refused := a.refuseQueued(&last, "queue_full")
 		d.Replies, d.Sends = refused.Replies, refused.Sends
@@ -127,6 +127,10 @@
 		a.queue.Remove(o.Key)
 		return a.forwardOpening(now, leaveQueue(now, &o, &p), &p, reason), true
 	}
+	if d, avoided := a.avoidBackend(now, leaveQueue(now, &o, &p), &p); avoided {
+		a.queue.Remove(o.Key)
+		return d, true
+	}
 	if !a.hasRoom() {
 		return Decision{}, false
 	}
--- a/internal/flowproc/agent.go
+++ b/internal/flowproc/agent.go
@@ -61,6 +61,12 @@
 		a.addTable(t.Name, t.Entries, t.Limit)
 	}
 	a.addGauge("almondledge_open_flows", func() int { return int(a.agent.Load().Flows) })
+	a.addGauge("almondledge_backend_avoided", func() int {
+		if a.agent.Avoided() {
+			return 1
+		}
+		return 0
+	})
 	a.addGauge("almondledge_active_requests", func() int { return int(a.agent.Load().Active) })
 }
 
@@ -173,6 +179,9 @@
 	if d.AnswerLatency > 0 {
 		a.metrics.answerTime.Update(d.AnswerLatency.Seconds())
 	}
+	if d.JudgementChanged {
+		a.log.event("judgement on the backend server changed", fields{"avoided": a.agent.Avoided(), "backend": a.cfg.Backend, "active": a.agent.Load().Active})
+	}
 	if d.ToBackend != nil {
 		if err := a.fromBackend.WriteTo(d.ToBackend, a.cfg.Backend); err != nil {
 			a.metrics.sendErrors.Inc()
--- a/internal/flowtable/flowtable.go
+++ b/internal/flowtable/flowtable.go
@@ -150,6 +150,22 @@
 	return distance <= maxAckDistance && distance >= -maxAckDistance
 }
 
+// AwaitsAnswer reports whether the backend server has received a request of the flow and has not answered it,
+// while the caller still waits.
+func (e *Entry) AwaitsAnswer() bool {
+	return e.RequestPending && !e.requestExpected && !e.callerFin
+}
+
+// EndsWithoutAnswer reports whether a packet of the backend server ends the flow without a byte after those
+// that it has sent before. Packets may arrive in another order than they were sent, so the number of a closing
+// packet shows whether data precedes it.
+func (e *Entry) EndsWithoutAnswer(p *flow.Packet) bool {
+	if p.Flags.Has(flow.RST) {
+		return true
+	}
+	return p.Flags.Has(flow.FIN) && p.Length == 0 && e.hasNextSeq && p.Seq == e.nextSeq
+}
+
 // Age returns how long ago the flow was first seen.
 func (e *Entry) Age(now time.Time) time.Duration { return now.Sub(e.firstSeen) }
 
--- a/internal/openqueue/openqueue.go
+++ b/internal/openqueue/openqueue.go
@@ -27,7 +27,7 @@
 	Key flow.Key
 	// Priority is the priority of the flow's route; zero is the highest.
 	Priority uint8
-	// Begun is when the caller sent its first opening packet.
+	// Begun is when the caller sent its first opening packet, as far as its copies show.
 	Begun time.Time
 	// Deadline is when the flow is too late to be opened.
 	Deadline time.Time
@@ -35,9 +35,6 @@
 	Forward hop.Forward
 }
 
-// Before reports whether the queue serves o before other.
-func (o *Opening) Before(other *Opening) bool { return compare(o, other) > 0 }
-
 // entry is a place in the queue. Its buffers are reused.
 type entry struct {
 	opening Opening
@@ -62,6 +59,12 @@
 	return q
 }
 
+// PrecedesLast reports whether a flow that does not wait yet would be served before the last waiting one. The
+// queue must not be empty.
+func (q *Queue) PrecedesLast(o Opening) bool {
+	return compare(&o, q.Last()) > 0
+}
+
 // Len returns the number of waiting flows.
 func (q *Queue) Len() int { return len(q.waiting) }
 
--- a/internal/standin/flows/backend.go
+++ b/internal/standin/flows/backend.go
@@ -16,6 +16,8 @@
 	Echo bool
 	// Full makes the backend server return the opening packets of new flows.
 	Full bool
+	// Breaks makes the backend server end a flow with a reset when a request arrives, without running it.
+	Breaks bool
 	// Runs counts the requests that the backend server has run, without copies.
 	Runs int
 	// OnRun, if set, is called with each request that is run, and OnOpen with each flow
@@ -80,6 +82,9 @@
 		return [][]byte{b.build(key, flow.FIN|flow.ACK, f.next, p.Seq+1, nil)}
 	case p.Length == 0:
 		return nil
+	case b.Breaks:
+		delete(b.flows, key)
+		return [][]byte{b.build(key, flow.RST|flow.ACK, f.next, p.Seq+1, nil)}
 	case f.answer != nil && p.Seq == f.request:
 		return [][]byte{f.answer} // a repeated request: its answer was lost
 	case p.Seq != f.expected:
