--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -8,9 +8,11 @@
 	"no_backend": "no backend server of the service took new flows (see agents, and the members around that time); the flow was refused at once, nothing has run",
 	"not_ready":  "the balancer had just started and knew no state or no agents yet; the packet was dropped and the caller's next copy counts",
 	"replaced":   "an agent left the opening packet unanswered (see unanswered_by); the copy went to another one",
-	"deferred":   "all backend servers of the route were crowded (see active); the packet was left to the caller's next copy",
+	"queued":     "all backend servers of the route were crowded (see active); the packet waits at this agent",
 
-	"refused/crowded":         "all backend servers of the route were crowded (see active), and this was the caller's last copy; nothing has run",
+	"refused/waited_too_long": "all backend servers of the route were crowded (see active) until it was too late for the caller; nothing has run",
+	"refused/queue_full":      "so many flows waited at the agent that this one could not be served; nothing has run",
+	"passed/backend_fails":    "requests fail at the agent's backend server (see judgement on the backend server changed); the packet went to another agent",
 	"refused/returned":        "the backend server returned the opening packet, and no other took it; nothing has run",
 	"refused/older_state":     "the agent had a newer desired state than the balancer, which has no such route; nothing has run",
 	"ended/no_agent_has_it":   "no agent's backend server held the flow any more, or its instance was lost (see members with liveness=dead); the caller got a reset",
--- a/internal/flowagent/overload.go
+++ b/internal/flowagent/overload.go
@@ -18,9 +18,12 @@
 	maxActivePerSlot = 1.5
 	// maxOverloadForwards bounds the overloaded agents that forward one opening packet.
 	maxOverloadForwards = 2
-	// queueMargin is the time before the end of a caller's wait from which a flow is not opened any more,
+	// maxWait is how long after a caller's first opening packet its flow may still be opened. It is shorter than
+	// flow.OpeningTimeout, so that the caller can try again while its time limit lasts.
+	maxWait = time.Second
+	// answerMargin is the time before the time limit of a request from which its flow is not opened any more,
 	// because the answer would not reach the caller in time.
-	queueMargin = 60 * time.Millisecond
+	answerMargin = 60 * time.Millisecond
 	// maxQueuedForwards bounds the waiting packets that are forwarded to other agents in one tick.
 	maxQueuedForwards = 8
 )
@@ -76,14 +79,14 @@
 // copies of the packet follow it. A full queue refuses the flow that it would serve last.
 func (a *Agent) enqueue(now time.Time, f hop.Forward, p *flow.Packet) Decision {
 	o := openqueue.Opening{Key: p.CallerKey(), Begun: now.Add(-flow.CopyDelay(p.Ack) - f.Waited), Forward: f}
-	patience := flow.OpeningTimeout
+	wait := maxWait
 	if r := a.routes.Lookup(p.Dst); r != nil {
 		o.Priority = r.Priority
 		if r.Timeout > 0 {
-			patience = min(patience, r.Timeout)
+			wait = min(wait, r.Timeout-answerMargin)
 		}
 	}
-	o.Deadline = o.Begun.Add(patience - queueMargin)
+	o.Deadline = o.Begun.Add(wait)
 	d := Decision{Outcome: Queued, Key: o.Key, Reason: "crowded"}
 	if a.queue.IsFull() && !a.queue.Holds(o.Key) {
 		if !a.queue.PrecedesLast(o) {
--- a/internal/flowproc/agent.go
+++ b/internal/flowproc/agent.go
@@ -179,6 +179,9 @@
 	if d.AnswerLatency > 0 {
 		a.metrics.answerTime.Update(d.AnswerLatency.Seconds())
 	}
+	if d.Waited > 0 {
+		a.metrics.waitTime.Update(d.Waited.Seconds())
+	}
 	if d.JudgementChanged {
 		a.log.event("judgement on the backend server changed", fields{"avoided": a.agent.Avoided(), "backend": a.cfg.Backend, "active": a.agent.Load().Active})
 	}
--- a/internal/flowproc/metrics.go
+++ b/internal/flowproc/metrics.go
@@ -25,6 +25,8 @@
 	outcomes                  []*metrics.Counter
 	// answerTime is the time from an opening packet to the backend server's answer.
 	answerTime *metrics.Histogram
+	// waitTime is the time that an opened flow has waited for its backend server.
+	waitTime *metrics.Histogram
 	// stateTime is the time from the start of a fetch or read of a newer desired state to its activation.
 	stateTime *metrics.Histogram
 	// readyTime is the time from the start of a balancer until it is ready for the first time.
@@ -43,6 +45,7 @@
 		fetchErrors:  set.NewCounter("almondledge_state_fetch_errors_total"),
 		stateChanges: set.NewCounter("almondledge_state_changes_total"),
 		answerTime:   set.NewHistogram("almondledge_flow_answer_seconds"),
+		waitTime:     set.NewHistogram("almondledge_opening_wait_seconds"),
 		stateTime:    set.NewHistogram("almondledge_state_fetch_seconds"),
 		readyTime:    set.NewHistogram("almondledge_ready_after_start_seconds"),
 		hops:         set.NewHistogram("almondledge_packet_hops"),
