lab outage: the bound of the best order under scarce capacity

The bound of an outage assumed unlimited backend servers. Schedule lets the waiting requests share the capacity of their services: those that can still be answered within their target first, then the others by their limit.

--- a/cmd/lab/outage.go
+++ b/cmd/lab/outage.go
@@ -18,7 +18,8 @@
 	File string `arg:"" help:"JSON file with the kinds of request and the outages." type:"existingfile"`
 }
 
-// Run prints the upper bound for each window, and the mean of the two lowest bounds.
+// Run prints the upper bound for each window, and the mean of the two lowest bounds. If the file lists services,
+// it prints the same for the best order of the requests that wait for the services' capacity.
 func (c outageCmd) Run() error {
 	text, err := os.ReadFile(c.File)
 	if err != nil {
@@ -32,13 +33,19 @@
 		return err
 	}
 	for _, o := range input.Outages {
-		windows := o.Windows(input.Kinds, printedWindows)
-		fmt.Printf("%-38s", o.Name)
-		for _, share := range windows {
-			fmt.Printf(" %.3f", share)
+		printWindows(o.Name, o.Windows(input.Kinds, printedWindows))
+		if len(input.Services) > 0 {
+			printWindows("  with the capacity of the services", input.Schedule(o, printedWindows))
 		}
-		slices.Sort(windows)
-		fmt.Printf("  mean of the two lowest %.3f\n", (windows[0]+windows[1])/2)
 	}
 	return nil
 }
+
+func printWindows(name string, windows []float64) {
+	fmt.Printf("%-38s", name)
+	for _, share := range windows {
+		fmt.Printf(" %.3f", share)
+	}
+	slices.Sort(windows)
+	fmt.Printf("  mean of the two lowest %.3f\n", (windows[0]+windows[1])/2)
+}
--- a/internal/lab/outage/outage.go
+++ b/internal/lab/outage/outage.go
@@ -14,6 +14,8 @@
 // Kind describes a kind of request.
 type Kind struct {
 	Name string `json:"name"`
+	// Service names the service whose capacity the requests use. Empty means unlimited capacity.
+	Service string `json:"service"`
 	// PerSecond is the rate of requests per second.
 	PerSecond float64 `json:"per_second"`
 	// Credit is what a request earns if it is answered within TargetMS, and LateCredit what
@@ -39,12 +41,23 @@
 	StartMS float64 `json:"lost_ms"`
 	// RecoveryMS is the time when the first balancer accepts packets again.
 	RecoveryMS float64 `json:"back_ms"`
+	// Load scales the rates of all kinds on this day. Zero means one.
+	Load float64 `json:"load"`
+}
+
+// load returns the factor of the rates.
+func (o Outage) load() float64 {
+	if o.Load == 0 {
+		return 1
+	}
+	return o.Load
 }
 
 // Input holds the kinds of request and the outages to compute bounds for.
 type Input struct {
-	Kinds   []Kind   `json:"kinds"`
-	Outages []Outage `json:"outages"`
+	Kinds    []Kind    `json:"kinds"`
+	Services []Service `json:"services"`
+	Outages  []Outage  `json:"outages"`
 }
 
 // Timers of the callers' protocol, in milliseconds.
@@ -79,6 +92,11 @@
 			return errkind.New(errkind.Invalid, "outage "+o.Name+" ends before it begins", "correct the file")
 		}
 	}
+	for _, s := range in.Services {
+		if s.Slots <= 0 || s.WarmupMS < 0 || (s.WarmupMS > 0 && s.WarmupFactor < 1) {
+			return errkind.New(errkind.Invalid, "service "+s.Name+" has no slots, or a warm-up that is not slower", "correct the file")
+		}
+	}
 	if len(in.Kinds) == 0 || len(in.Outages) == 0 {
 		return errkind.New(errkind.Invalid, "no kinds or no outages", "name at least one of each")
 	}
@@ -126,28 +144,48 @@
 // lostFlowCredit returns the credit of a request on a flow that the outage ended. A
 // balancer answers the first packet that reaches it with a reset.
 func (o Outage) lostFlowCredit(k Kind, at float64) float64 {
-	if !k.Idempotent {
+	after, arrives := o.lostFlowDelay(k, at)
+	if !arrives {
 		return 0
 	}
+	return k.creditAfter(after + k.WorkMS)
+}
+
+// lostFlowDelay returns how long after a request on a lost flow a balancer receives it and resets
+// the flow, or false if the caller does not repeat it.
+func (o Outage) lostFlowDelay(k Kind, at float64) (afterMS float64, arrives bool) {
+	if !k.Idempotent {
+		return 0, false
+	}
 	for _, after := range retransmitDelays {
 		if at+after >= o.RecoveryMS {
-			return k.creditAfter(after + k.WorkMS)
+			return after, true
 		}
 	}
-	return 0
+	return 0, false
 }
 
 // newFlowCredit returns the credit of a request that opens a flow.
 func (o Outage) newFlowCredit(k Kind, at float64) float64 {
+	after, arrives := o.newFlowDelay(at)
+	if !arrives {
+		return 0
+	}
+	return k.creditAfter(after + k.WorkMS)
+}
+
+// newFlowDelay returns how long after a request that opens a flow a balancer receives one of its
+// opening packets, or false if it receives none.
+func (o Outage) newFlowDelay(at float64) (afterMS float64, arrives bool) {
 	for attempt := range 1 + openRetries {
 		for _, delay := range openingCopyDelays {
 			after := float64(attempt)*openAttemptMS + delay
 			if at+after >= o.RecoveryMS {
-				return k.creditAfter(after + k.WorkMS)
+				return after, true
 			}
 		}
 	}
-	return 0
+	return 0, false
 }
 
 // creditAfter returns the credit of an answer that arrives the given number of
