--- a/internal/flowagent/overload_test.go
+++ b/internal/flowagent/overload_test.go
@@ -204,3 +204,28 @@
 	c := cl.open(serviceAddr, 7000, 1)[0]
 	is.True(c.Reset) // all who wait go before it, so it is refused itself
 }
+
+// Copies of one opening packet may wait at one agent while another agent opens the flow, if they came through
+// different balancers. The refusal of the waiting copy must not end the open flow.
+func TestRefusalOfAWaitingCopyDoesNotEndAnOpenFlow(t *testing.T) {
+	is := is.New(t)
+	cl := newOverloadCluster(t, 2)
+	first, second := cl.nodes[0], cl.nodes[1]
+	first.directory.RecordLoad(second.addr, 100, 100) // the first agent takes the second one for overloaded
+	for port := uint16(1000); port < 1000+capacity; port++ {
+		cl.sendOpeningTo(first, cl.newCaller(port).Opening(), "alpha")
+	}
+	c := cl.newCaller(2000)
+	cl.sendOpeningTo(first, c.Opening(), "alpha")
+	is.True(!c.Open)
+	cl.sendOpeningTo(second, c.Opening(), "alpha")
+	is.True(c.Open)
+	for step := uint16(0); step < 60; step++ {
+		cl.sendOpeningTo(first, cl.newCaller(3000+step).Opening(), "alpha") // newer callers take all room
+		cl.advance(20 * time.Millisecond)
+	}
+	is.True(!first.backend.Holds(c.Key)) // the waiting copy was refused
+	is.True(!c.Reset)
+	cl.sendFromCaller(c.Request("hello"))
+	is.Equal(c.Answers, []string{second.backend.Name})
+}
--- a/internal/outlier/outlier_test.go
+++ b/internal/outlier/outlier_test.go
@@ -146,3 +146,13 @@
 	}
 	return failed
 }
+
+func BenchmarkAdmitAndRecord(b *testing.B) {
+	var d outlier.Detector
+	b.ReportAllocs()
+	for b.Loop() {
+		if d.Admit(start, true) {
+			d.Record(start, false)
+		}
+	}
+}
