--- a/internal/flowagent/flowagent.go
+++ b/internal/flowagent/flowagent.go
@@ -253,7 +253,7 @@
 	return d
 }
 
-// Tick expires old flows, and advances searches and the queue. If homeAgentsChanged is set, it also sends ownership
+// Tick expires old and waiting flows, and advances searches. If homeAgentsChanged is set, it also sends ownership
 // claims for the flows whose home agents have changed.
 func (a *Agent) Tick(now time.Time, homeAgentsChanged bool) []Decision {
 	idle := a.routes.IdleTimeout()
@@ -262,7 +262,7 @@
 	}
 	a.flows.Expire(now, idle+idleMargin)
 	decisions := a.advanceSearches(now)
-	decisions = a.advanceQueue(now, decisions)
+	decisions = a.expireQueue(now, decisions)
 	if homeAgentsChanged {
 		decisions = append(decisions, Decision{Outcome: Claimed, Sends: a.renewClaims()})
 	}
--- a/internal/flowagent/overload.go
+++ b/internal/flowagent/overload.go
@@ -24,8 +24,6 @@
 	// answerMargin is the time before the time limit of a request from which its flow is not opened any more,
 	// because the answer would not reach the caller in time.
 	answerMargin = 60 * time.Millisecond
-	// maxQueuedForwards bounds the waiting packets that are forwarded to other agents in one tick.
-	maxQueuedForwards = 8
 )
 
 // hasRoom reports whether the backend server would begin to work on a new flow's request soon.
@@ -143,6 +141,23 @@
 	return d, true
 }
 
+// EmptyQueue returns the decisions that pass all waiting opening packets on to other agents, because this
+// agent is about to end.
+func (a *Agent) EmptyQueue(now time.Time) []Decision {
+	var decisions []Decision
+	for first := a.queue.First(); first != nil; first = a.queue.First() {
+		o := *first
+		a.queue.Remove(o.Key)
+		p, err := a.cfg.Codec.Parse(o.Forward.Packet)
+		if err != nil {
+			continue // unreachable, since packets are parsed before they wait
+		}
+		d := a.forwardOpening(now, leaveQueue(now, &o, &p), &p, "agent_leaves")
+		decisions = append(decisions, d)
+	}
+	return decisions
+}
+
 // leaveQueue returns a waiting packet for another agent. The agents that it has visited may have room again.
 func leaveQueue(now time.Time, o *openqueue.Opening, p *flow.Packet) hop.Forward {
 	f := o.Forward
@@ -151,29 +166,12 @@
 	return f
 }
 
-// advanceQueue refuses the waiting flows that are too late to be opened, and forwards waiting packets to
-// agents that are not overloaded any more.
-func (a *Agent) advanceQueue(now time.Time, decisions []Decision) []Decision {
+// expireQueue refuses the waiting flows that are too late to be opened.
+func (a *Agent) expireQueue(now time.Time, decisions []Decision) []Decision {
 	for o := a.queue.Expired(now); o != nil; o = a.queue.Expired(now) {
 		expired := *o
 		a.queue.Remove(o.Key)
 		decisions = append(decisions, a.refuseQueued(&expired, "waited_too_long"))
 	}
-	for range maxQueuedForwards {
-		first := a.queue.First()
-		if first == nil || a.hasRoom() {
-			break
-		}
-		p, err := a.cfg.Codec.Parse(first.Forward.Packet)
-		if err != nil {
-			break
-		}
-		d, forwarded := a.forwardToLessBusy(now, leaveQueue(now, first, &p), &p)
-		if !forwarded {
-			break
-		}
-		a.queue.Remove(first.Key)
-		decisions = append(decisions, d)
-	}
 	return decisions
 }
--- a/internal/flowproc/agent.go
+++ b/internal/flowproc/agent.go
@@ -88,6 +88,7 @@
 		case <-ctx.Done():
 		case <-drain.Done():
 			a.leave()
+			a.emptyQueue()
 			a.log.event("leaving", fields{"drain_time": agentDrainTime})
 			waitFor(ctx, agentDrainTime)
 		}
@@ -162,6 +163,16 @@
 	}
 }
 
+// emptyQueue passes the opening packets that wait at this agent on to other agents.
+func (a *Agent) emptyQueue() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	for _, d := range a.agent.EmptyQueue(now) {
+		a.execute(now, d)
+	}
+}
+
 // releaseQueued executes the decisions about the opening packets that can leave the agent's queue.
 func (a *Agent) releaseQueued(now time.Time) {
 	for {
