Requests that are never answered stop counting after the longest timeout of the routes

Cause: a request counted as in progress until its flow had been idle for 20 to 35 s. At 1.5 requests a slot an agent whose backend server holds requests for ever, or whose callers vanish, would not open a flow for that long.

Change: flowtable stops counting a request after the longest timeout of the routes.

--- a/internal/flowagent/flowagent.go
+++ b/internal/flowagent/flowagent.go
@@ -9,6 +9,7 @@
 package flowagent
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -113,6 +114,8 @@
 	startMargin = 200 * time.Millisecond
 	// defaultIdleTimeout applies while no desired state is active.
 	defaultIdleTimeout = 30 * time.Second
+	// defaultRequestTimeout applies while no route has a timeout.
+	defaultRequestTimeout = 10 * time.Second
 	// idleMargin keeps flows a little longer than their idle timeout, because the clock of the
 	// backend server decides when they end.
 	idleMargin = 5 * time.Second
@@ -260,6 +263,7 @@
 	if idle == 0 {
 		idle = defaultIdleTimeout
 	}
+	a.flows.ExpireRequests(now, cmp.Or(a.routes.MaxTimeout(), defaultRequestTimeout))
 	a.flows.Expire(now, idle+idleMargin)
 	decisions := a.advanceSearches(now)
 	decisions = a.expireQueue(now, decisions)
--- a/internal/flowtable/flowtable.go
+++ b/internal/flowtable/flowtable.go
@@ -42,6 +42,8 @@
 	Phase    Phase
 	// RequestPending is set while a request of the caller is expected or unanswered.
 	RequestPending bool
+	// pendingSince is when RequestPending was set last.
+	pendingSince time.Time
 	// requestExpected is set while the first request is expected but has not arrived.
 	requestExpected bool
 	// hasNextSeq is set once the backend server has sent a packet, so that nextSeq is known.
@@ -63,12 +65,13 @@
 	open  int
 	// active counts flows with an expected or unanswered request.
 	active int
-	// expectedRequests lists the expected first requests of flows, the oldest request first.
-	expectedRequests []expectedRequest
+	// expectedRequests lists the expected first requests of flows, pendingRequests the requests that were in
+	// progress, the oldest first.
+	expectedRequests, pendingRequests []timedRequest
 }
 
-// expectedRequest is the first request of a flow, expected from the time at which the flow was opened.
-type expectedRequest struct {
+// timedRequest is the request of a flow that was expected or in progress from the given time on.
+type timedRequest struct {
 	entry *Entry
 	since time.Time
 }
@@ -108,8 +111,8 @@
 func (t *Table) Begin(now time.Time, key flow.Key, balancer flow.Endpoint) *Entry {
 	e := t.add(now, key, balancer)
 	e.requestExpected = true
-	t.setRequestPending(e, true)
-	t.expectedRequests = append(t.expectedRequests, expectedRequest{e, now})
+	t.setRequestPending(now, e, true)
+	t.expectedRequests = append(t.expectedRequests, timedRequest{e, now})
 	return e
 }
 
@@ -185,7 +188,7 @@
 	}
 	if p.Length > 0 {
 		e.requestExpected = false
-		t.setRequestPending(e, true)
+		t.setRequestPending(now, e, true)
 	}
 	if p.Flags.Has(flow.FIN) {
 		e.callerFin = true
@@ -216,7 +219,7 @@
 		}
 	}
 	if p.Length > 0 {
-		t.setRequestPending(e, false)
+		t.setRequestPending(now, e, false)
 	}
 	if p.Flags.Has(flow.FIN) {
 		e.backendFin = true
@@ -240,16 +243,18 @@
 	}
 }
 
-func (t *Table) setRequestPending(e *Entry, pending bool) {
+func (t *Table) setRequestPending(now time.Time, e *Entry, pending bool) {
 	if e.RequestPending == pending {
 		return
 	}
 	e.RequestPending = pending
-	if pending {
-		t.active++
-	} else {
+	if !pending {
 		t.active--
+		return
 	}
+	t.active++
+	e.pendingSince = now
+	t.pendingRequests = append(t.pendingRequests, timedRequest{e, now})
 }
 
 func (t *Table) endIfDone(e *Entry, p *flow.Packet) {
@@ -264,21 +269,31 @@
 	if e.Phase == Ended {
 		return
 	}
-	t.setRequestPending(e, false)
+	t.setRequestPending(time.Time{}, e, false)
 	e.requestExpected = false
 	t.open--
 }
 
-// Expire removes flows that were idle for longer than idle and ended flows that were idle for endedRetention.
-// It also stops counting expected requests that have not arrived in time.
-func (t *Table) Expire(now time.Time, idle time.Duration) {
+// ExpireRequests stops counting expected requests that have not arrived in time, and requests that have been in
+// progress for timeout: their callers have given up, also if no packet says so.
+func (t *Table) ExpireRequests(now time.Time, timeout time.Duration) {
 	for len(t.expectedRequests) > 0 && now.Sub(t.expectedRequests[0].since) >= expectedRequestTimeout {
 		if e := t.expectedRequests[0].entry; e.requestExpected && e.Phase != Ended {
-			t.setRequestPending(e, false)
+			t.setRequestPending(now, e, false)
 		}
 		t.expectedRequests[0].entry.requestExpected = false
 		t.expectedRequests = t.expectedRequests[1:]
 	}
+	for len(t.pendingRequests) > 0 && now.Sub(t.pendingRequests[0].since) >= timeout {
+		if r := t.pendingRequests[0]; r.entry.pendingSince.Equal(r.since) && r.entry.Phase != Ended {
+			t.setRequestPending(now, r.entry, false)
+		}
+		t.pendingRequests = t.pendingRequests[1:]
+	}
+}
+
+// Expire removes flows that were idle for longer than idle and ended flows that were idle for endedRetention.
+func (t *Table) Expire(now time.Time, idle time.Duration) {
 	for {
 		key, e, ok := t.flows.GetOldest()
 		if !ok {
--- a/internal/flowtable/flowtable_test.go
+++ b/internal/flowtable/flowtable_test.go
@@ -36,11 +36,35 @@
 	is := is.New(t)
 	table := flowtable.New(10)
 	table.Begin(start, keyWithPort(1), flow.Endpoint{})
-	table.Expire(start.Add(time.Second), time.Minute)
+	table.ExpireRequests(start.Add(time.Second), time.Minute)
 	is.Equal(table.Active(), 0)
 	is.Equal(table.Open(), 1)
 }
 
+// Guards against requests that are never answered and whose callers vanish: they would count as in progress
+// until their flows are idle for long, and their agent would not open new flows.
+func TestRequestInProgressTimesOut(t *testing.T) {
+	is := is.New(t)
+	const timeout = 5 * time.Second
+	table := flowtable.New(10)
+	request := &flow.Packet{Flags: flow.ACK, Ack: 101, Length: 10}
+	e := table.Begin(start, keyWithPort(1), flow.Endpoint{})
+	table.RecordBackendPacket(start, keyWithPort(1), &flow.Packet{Flags: flow.SYN | flow.ACK, Seq: 100})
+	table.RecordCallerPacket(start, keyWithPort(1), e, request)
+	table.ExpireRequests(start.Add(timeout-1), timeout)
+	is.Equal(table.Active(), 1)
+	table.ExpireRequests(start.Add(timeout), timeout)
+	is.Equal(table.Active(), 0)
+	is.True(!e.AwaitsAnswer())
+
+	later := start.Add(timeout)
+	table.RecordCallerPacket(later, keyWithPort(1), e, request)
+	table.RecordBackendPacket(later, keyWithPort(1), &flow.Packet{Flags: flow.ACK, Seq: 101, Length: 50})
+	table.RecordCallerPacket(later.Add(time.Second), keyWithPort(1), e, request)
+	table.ExpireRequests(later.Add(timeout), timeout)
+	is.Equal(table.Active(), 1) // the second request is younger than the first one on this flow
+}
+
 // A flow that was opened before this process started has no expected request.
 func TestUnknownFlowHasNoRequestInProgress(t *testing.T) {
 	is := is.New(t)
@@ -110,6 +134,7 @@
 			case 3:
 				table.Remove(key)
 			case 4:
+				table.ExpireRequests(now, 5*time.Second)
 				table.Expire(now, 20*time.Second)
 			}
 			open, active := 0, 0
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -63,10 +63,10 @@
 
 // Table indexes a State for lookups.
 type Table struct {
-	state          State
-	byServiceAddr  map[flow.Endpoint]*Route
-	services       map[string]*Service
-	lowestPriority uint8
+	state         State
+	byServiceAddr map[flow.Endpoint]*Route
+	services      map[string]*Service
+	maxTimeout    time.Duration
 }
 
 // NewTable indexes a state, which must not be changed afterwards.
@@ -78,7 +78,7 @@
 	}
 	for i := range s.Routes {
 		t.byServiceAddr[s.Routes[i].ServiceAddr] = &s.Routes[i]
-		t.lowestPriority = max(t.lowestPriority, s.Routes[i].Priority)
+		t.maxTimeout = max(t.maxTimeout, s.Routes[i].Timeout)
 	}
 	for i := range s.Services {
 		t.services[s.Services[i].Name] = &s.Services[i]
@@ -113,12 +113,12 @@
 	return t.services[name]
 }
 
-// LowestPriority returns the lowest priority of all routes, which is the highest number.
-func (t *Table) LowestPriority() uint8 {
+// MaxTimeout returns the longest timeout of a request on any route, or zero for a nil table.
+func (t *Table) MaxTimeout() time.Duration {
 	if t == nil {
 		return 0
 	}
-	return t.lowestPriority
+	return t.maxTimeout
 }
 
 // IdleTimeout returns the time without packets after which a flow may be forgotten, or zero for a
