--- a/internal/flowagent/overload.go
+++ b/internal/flowagent/overload.go
@@ -106,7 +106,7 @@
 	return Decision{
 		Outcome: Refused, Key: o.Key, Reason: reason,
 		Replies: []Reply{{o.Key.Caller, a.cfg.Codec.Reset(o.Key, 0)}},
-		Sends:   a.notify(o.Forward.Balancer, o.Key, true),
+		Sends:   a.sendNotice(o.Forward.Balancer, hop.Notice{Key: o.Key, Refused: true, Overloaded: true}),
 	}
 }
 
--- a/internal/flowbalancer/flowbalancer_test.go
+++ b/internal/flowbalancer/flowbalancer_test.go
@@ -100,6 +100,22 @@
 	is.True(d.Reset != nil)
 }
 
+// An agent whose backend server accepts no flows is avoided for a moment, whatever its load. An agent that is only
+// overloaded is judged by the load that it states.
+func TestRefusalsOfOverloadedAgents(t *testing.T) {
+	for _, overloaded := range []bool{false, true} {
+		is := is.New(t)
+		b, _ := newBalancer(1, 2)
+		all := members(1, 2)
+		b.HandleNotice(start, all[1].Addr, hop.Notice{Flows: 100, Active: 100})
+		refused := b.HandlePacket(start, packet(1, flow.SYN, 0), nil)
+		is.Equal(refused.To, all[0].Addr)
+		b.HandleNotice(start, all[0].Addr, hop.Notice{Key: refused.Key, Flows: 1, Active: 1, Refused: true, Overloaded: overloaded})
+		next := b.HandlePacket(start, packet(2, flow.SYN, 0), nil)
+		is.Equal(next.To == all[0].Addr, overloaded)
+	}
+}
+
 func TestOwnerTableIsBounded(t *testing.T) {
 	is := is.New(t)
 	b, _ := newBalancer(1, 5)
--- a/internal/openqueue/openqueue.go
+++ b/internal/openqueue/openqueue.go
@@ -59,12 +59,6 @@
 	return q
 }
 
-// PrecedesLast reports whether a flow that does not wait yet would be served before the last waiting one. The
-// queue must not be empty.
-func (q *Queue) PrecedesLast(o Opening) bool {
-	return compare(&o, q.Last()) > 0
-}
-
 // Len returns the number of waiting flows.
 func (q *Queue) Len() int { return len(q.waiting) }
 
@@ -120,6 +114,12 @@
 	return &q.entries[q.waiting[0]].opening
 }
 
+// PrecedesLast reports whether a flow that does not wait yet would be served before the last waiting one. The
+// queue must not be empty.
+func (q *Queue) PrecedesLast(o Opening) bool {
+	return compare(&o, q.Last()) > 0
+}
+
 // Expired returns a flow whose deadline has passed, or nil. It is valid until the next change of the queue.
 func (q *Queue) Expired(now time.Time) *Opening {
 	for _, place := range q.waiting {
