--- a/internal/lab/outage/outage.go
+++ b/internal/lab/outage/outage.go
@@ -7,8 +7,10 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/flow"
 )
 
 // Kind describes a kind of request.
@@ -60,19 +62,11 @@
 	Outages  []Outage  `json:"outages"`
 }
 
-// Timers of the callers' protocol, in milliseconds.
-var (
-	// retransmitDelays are the times after the start of a request at which its packet
-	// is sent.
-	retransmitDelays = []float64{0, 200, 600, 1400, 3000}
-	// openingCopyDelays are the times after the start of an attempt at which a copy of
-	// the opening packet is sent.
-	openingCopyDelays = []float64{0, 200, 600}
-)
+// retransmitDelays are the times after the start of a request at which its packet is sent, in
+// milliseconds.
+var retransmitDelays = []float64{0, 200, 600, 1400, 3000}
 
 const (
-	// openAttemptMS is the time after which a caller abandons an attempt to open a flow.
-	openAttemptMS = 1400
 	// openRetries is the number of attempts to open a flow after the first attempt.
 	openRetries = 2
 	// WindowMS is the length of a window, and stepMS the integration step within a window.
@@ -178,8 +172,8 @@
 // opening packets, or false if it receives none.
 func (o Outage) newFlowDelay(at float64) (afterMS float64, arrives bool) {
 	for attempt := range 1 + openRetries {
-		for _, delay := range openingCopyDelays {
-			after := float64(attempt)*openAttemptMS + delay
+		for number := range uint32(flow.OpeningPackets) {
+			after := milliseconds(time.Duration(attempt)*flow.OpeningTimeout + flow.CopyDelay(number))
 			if at+after >= o.RecoveryMS {
 				return after, true
 			}
@@ -188,6 +182,8 @@
 	return 0, false
 }
 
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 // creditAfter returns the credit of an answer that arrives the given number of
 // milliseconds after the first attempt.
 func (k Kind) creditAfter(after float64) float64 {
--- a/internal/openqueue/storm_test.go
+++ b/internal/openqueue/storm_test.go
@@ -138,7 +138,7 @@
 	s.nextPort++
 	a := &attempt{request: r, begun: s.now, key: flow.Key{Caller: flow.Endpoint{IP: [4]byte{100, 64, byte(s.nextPort >> 16), 1}, Port: uint16(s.nextPort)}}}
 	s.attempts[a.key] = a
-	for number := range uint32(3) {
+	for number := range uint32(flow.OpeningPackets) {
 		s.after(flow.CopyDelay(number), func() { s.receive(a) })
 	}
 	s.after(flow.OpeningTimeout, func() {
