--- a/internal/flowagent/overload.go
+++ b/internal/flowagent/overload.go
@@ -16,6 +16,9 @@
 	// backend server. It exceeds one because the request of a new flow arrives one round trip after its
 	// opening packet.
 	maxActivePerSlot = 1.5
+	// minExtraActive is the least number of requests in progress beyond the slots. With few slots, the round
+	// trips of some new flows would otherwise leave slots idle.
+	minExtraActive = 3
 	// maxOverloadForwards bounds the overloaded agents that forward one opening packet.
 	maxOverloadForwards = 2
 	// maxWait is how long after a caller's first opening packet its flow may still be opened. It is shorter than
@@ -28,7 +31,14 @@
 
 // hasRoom reports whether the backend server would begin to work on a new flow's request soon.
 func (a *Agent) hasRoom() bool {
-	return float64(a.flows.Active()) < maxActivePerSlot*float64(max(1, a.backend.Slots))
+	return float64(a.flows.Active()) < maxActive(a.backend.Slots)
+}
+
+// maxActive returns the number of requests in progress from which a backend server with the given number of
+// slots is overloaded.
+func maxActive(slots uint16) float64 {
+	known := float64(max(1, slots))
+	return max(maxActivePerSlot*known, known+minExtraActive)
 }
 
 // offloadOpening forwards an opening packet to an agent that is not overloaded. If there is none, the packet
@@ -47,7 +57,8 @@
 		return Decision{}, false
 	}
 	to, found := a.chooseLessBusy(now, &f, p)
-	if !found || a.cfg.Directory.RequestsPerSlot(to) >= maxActivePerSlot {
+	m, _ := a.cfg.Directory.Member(to)
+	if !found || a.cfg.Directory.RequestsPerSlot(to)*float64(max(1, m.Backend.Slots)) >= maxActive(m.Backend.Slots) {
 		return Decision{}, false
 	}
 	a.cfg.Directory.RecordPlacement(to)
--- a/internal/flowagent/overload_test.go
+++ b/internal/flowagent/overload_test.go
@@ -68,6 +68,19 @@
 	is.True(first.Active >= 25 && second.Active >= 25)
 }
 
+// Guards against idle slots at backend servers with few of them: the requests of new flows arrive one round trip
+// after their opening packets.
+func TestBackendsWithFewSlotsGetFlowsAhead(t *testing.T) {
+	for slots, want := range map[uint16]int{1: 4, 2: 5, 5: 8, 8: 12, 50: 75} {
+		is := is.New(t)
+		cl := newOverloadCluster(t, 1)
+		b := cl.nodes[0].member.Backend
+		b.Slots = slots
+		cl.setBackend(cl.nodes[0], b)
+		is.Equal(countOpen(cl.open(serviceAddr, 1000, 100)), want)
+	}
+}
+
 func TestWaitingFlowsOpenByPriorityThenNewestFirst(t *testing.T) {
 	is := is.New(t)
 	cl := newOverloadCluster(t, 1)
