--- a/internal/flowagent/avoid_test.go
+++ b/internal/flowagent/avoid_test.go
@@ -37,7 +37,7 @@
 	for port := uint16(20000); !n.agent.Avoided(); port++ {
 		c := flows.NewCaller(flow.Key{Caller: flow.Endpoint{IP: [4]byte{100, 64, 0, 9}, Port: port}, ServiceAddr: serviceAddr})
 		cl.callers[c.Key] = c
-		cl.sendOpeningTo(n, c.Opening(), "alpha")
+		cl.sendOpeningTo(n, c.Opening())
 		cl.sendFromCaller(c.Request("hello"))
 		if port > 20010 {
 			cl.t.Fatal("the agent does not avoid a backend server that breaks all requests")
--- a/internal/flowagent/flowagent_test.go
+++ b/internal/flowagent/flowagent_test.go
@@ -158,10 +158,10 @@
 		c := cl.newCaller(port)
 		first, second := cl.nodes[0], cl.nodes[1]
 		first.backendDown = true
-		cl.sendOpeningTo(first, c.Opening(), "alpha")
+		cl.sendOpeningTo(first, c.Opening())
 		// The answer of the first backend server is late; the copy reaches the second.
 		late := first.backend.Handle(cl.firstOpening(c))
-		cl.sendOpeningTo(second, c.Opening(), "alpha")
+		cl.sendOpeningTo(second, c.Opening())
 		is.True(c.Open)
 		first.backendDown = false
 		for _, raw := range late {
--- a/internal/flowagent/overload_test.go
+++ b/internal/flowagent/overload_test.go
@@ -230,15 +230,15 @@
 	first, second := cl.nodes[0], cl.nodes[1]
 	first.directory.RecordLoad(second.addr, 100, 100) // the first agent takes the second one for overloaded
 	for port := uint16(1000); port < 1000+capacity; port++ {
-		cl.sendOpeningTo(first, cl.newCaller(port).Opening(), "alpha")
+		cl.sendOpeningTo(first, cl.newCaller(port).Opening())
 	}
 	c := cl.newCaller(2000)
-	cl.sendOpeningTo(first, c.Opening(), "alpha")
+	cl.sendOpeningTo(first, c.Opening())
 	is.True(!c.Open)
-	cl.sendOpeningTo(second, c.Opening(), "alpha")
+	cl.sendOpeningTo(second, c.Opening())
 	is.True(c.Open)
 	for step := uint16(0); step < 60; step++ {
-		cl.sendOpeningTo(first, cl.newCaller(3000+step).Opening(), "alpha") // newer callers take all room
+		cl.sendOpeningTo(first, cl.newCaller(3000+step).Opening()) // newer callers take all room
 		cl.advance(20 * time.Millisecond)
 	}
 	is.True(!first.backend.Holds(c.Key)) // the waiting copy was refused
--- a/internal/flowagent/world_test.go
+++ b/internal/flowagent/world_test.go
@@ -285,10 +285,10 @@
 }
 
 // sendOpeningTo sends an opening packet to the agent of a node, regardless of the balancer's choice.
-func (cl *cluster) sendOpeningTo(n *node, raw []byte, service string) {
+func (cl *cluster) sendOpeningTo(n *node, raw []byte) {
 	f := hop.Forward{
 		Balancer: flow.EndpointOf(cl.balancerAddr), Version: cl.routes.Version(),
-		Service: placement.ServiceHash(service), Packet: raw,
+		Service: placement.ServiceHash(n.member.Backend.Service), Packet: raw,
 	}
 	cl.execute(n, n.agent.HandleForward(cl.now, f))
 }
