--- a/internal/flowagent/overload_test.go
+++ b/internal/flowagent/overload_test.go
@@ -68,6 +68,31 @@
 	is.True(first.Active >= 25 && second.Active >= 25)
 }
 
+// Every agent is filled exactly up to its limit, no caller of either priority is refused, and flows that wait, then
+// new ones, open after the expected requests have timed out.
+func TestOverloadedAgentsAreFilledEvenlyAndOpenFlowsAgain(t *testing.T) {
+	is := is.New(t)
+	cl := newOverloadCluster(t, 2)
+	feeds := cl.open(serviceAddr, 1000, 60)
+	orders := cl.open(ordersAddr, 2000, 60)
+	is.Equal(countOpen(feeds), 2*capacity)
+	is.Equal(countOpen(orders), 0)
+	active := 0
+	for _, n := range cl.nodes {
+		is.Equal(n.backend.Len(), capacity)
+		active += int(n.agent.Load().Active)
+	}
+	is.Equal(active, 120)
+	for _, c := range append(feeds, orders...) {
+		is.True(!c.Reset)
+	}
+	cl.advance(400 * time.Millisecond) // the expected requests time out
+	is.Equal(countOpen(orders), 2*capacity)
+	is.Equal(countOpen(feeds), 2*capacity) // the higher priority goes first
+	cl.advance(time.Second)                // the other flows have waited too long
+	is.True(countOpen(cl.open(serviceAddr, 3000, 10)) > 0)
+}
+
 // Guards against idle slots at backend servers with few of them: the requests of new flows arrive one round trip
 // after their opening packets.
 func TestBackendsWithFewSlotsGetFlowsAhead(t *testing.T) {
