--- a/review/standin/latesyn.go
+++ b/review/standin/latesyn.go
@@ -18,8 +18,8 @@
 	answerBytes = 12000
 	// flowsPerSecond is the number of flows that clients open each second, and requestsPerFlow the number of
 	// requests on each, with requestPause between them.
-	flowsPerSecond  = 48
-	requestsPerFlow = 22
+	flowsPerSecond  = 64
+	requestsPerFlow = 17
 	requestPause    = 150 * time.Millisecond
 )
 
@@ -110,7 +110,7 @@
 			for i := range requestsPerFlow {
 				id := fmt.Sprintf("q-%d-%d", port, i)
 				body, failure := c.request(f, id, fmt.Sprintf("/stock?bytes=%d", answerBytes), 2*time.Second)
-				w.logf("client: request %s: %d bytes %s", id, len(body), failure)
+				w.logf("answered %s: %d bytes %s", id, len(body), failure)
 				if failure != "" {
 					failed.Add(1)
 					c.drop(f)
--- a/review/standin/reusedport.go
+++ b/review/standin/reusedport.go
@@ -106,7 +106,7 @@
 	h := w.taker(f.key)
 	body, failure := c.request(f, id, "/order", 2*time.Second)
 	closed := c.close(f)
-	w.logf("client: request %s on %v: answer %q%s; taken by %s of %s at %v; closed by both ends: %v", id, f.key, body, failure, h.name, h.service, h.ip, closed)
+	w.logf("answered %s on %v: answer %q%s; taken by %s of %s at %v; closed by both ends: %v", id, f.key, body, failure, h.name, h.service, h.ip, closed)
 	return h
 }
 
@@ -129,7 +129,10 @@
 				if !ok {
 					continue
 				}
-				if body, _ := c.request(f, fmt.Sprintf("other-%d", p), "/feed", 2*time.Second); body != "" {
+				id := fmt.Sprintf("other-%d", p)
+				body, failure := c.request(f, id, "/feed", 2*time.Second)
+				c.w.logf("answered %s: %d bytes %s", id, len(body), failure)
+				if body != "" {
 					served.Add(1)
 				}
 				c.close(f)
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -40,7 +41,8 @@
 	begun   time.Time
 
 	mu     sync.Mutex
-	record *os.File
+	file   *os.File
+	record *bufio.Writer
 	over   bool
 	// allowed lists the services to which any desired state sent each route.
 	allowed  map[endpoint]map[string]bool
@@ -79,7 +81,7 @@
 		return nil, err
 	}
 	w := &world{
-		dir: dir, store: newStore(), trouble: os.Getenv("TROUBLE") != "0", begun: time.Now(), record: record,
+		dir: dir, store: newStore(), trouble: os.Getenv("TROUBLE") != "0", begun: time.Now(), file: record, record: bufio.NewWriter(record),
 		allowed: map[endpoint]map[string]bool{}, requests: map[string]*requestRecord{}, takenBy: map[flowKey]*host{},
 	}
 	for range 50 {
@@ -197,6 +199,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.requests[id] = &requestRecord{key: key, text: text}
+	w.write("sent %s on %v", id, key)
 }
 
 // taken records that a host took an opening packet.
@@ -214,6 +217,7 @@
 	if r != nil {
 		r.runs = append(r.runs, h.name)
 	}
+	w.write("run %s by %s of %s", id, h.name, h.service)
 	w.mu.Unlock()
 	if r == nil || r.text != text || r.key != key {
 		w.violation("UNASKED", "host %s of %s runs request %q, which no client sent so", h.name, h.service, id)
@@ -335,7 +339,8 @@
 	}
 	w.write("rules broken: %v", count)
 	fmt.Println("rules broken:", count)
-	_ = w.record.Close()
+	_ = w.record.Flush()
+	_ = w.file.Close()
 	if len(w.broken) > 0 {
 		return 1
 	}
