--- a/review/standin/latesyn.go
+++ b/review/standin/latesyn.go
@@ -28,7 +28,7 @@
 // its socket.
 func lateSyn(w *world) int {
 	w.setState(7, []string{counter, catalogue}, []route{
-		{addr: counterRoute, kind: "idempotent", service: counter}, {addr: catalogueRoute, kind: "download", service: catalogue},
+		{addr: w.counterRoute(), kind: "idempotent", service: counter}, {addr: w.catalogueRoute(), kind: "download", service: catalogue},
 	})
 	sides := []*side{
 		{number: 1, zone: "butterworth", service: counter}, {number: 2, zone: "butterworth", service: counter},
@@ -101,7 +101,7 @@
 		case <-time.After(time.Second / flowsPerSecond):
 		}
 		running.Go(func() {
-			f, ok := c.open(port, counterRoute)
+			f, ok := c.open(port, w.counterRoute())
 			if !ok {
 				w.logf("client: the flow from port %d did not open", port)
 				failed.Add(1)
--- a/review/standin/reusedport.go
+++ b/review/standin/reusedport.go
@@ -20,21 +20,30 @@
 	lossShare = 0.0015
 )
 
-var (
-	counterRoute   = endpoint{[4]byte{198, 18, 0, 1}, 8080}
-	catalogueRoute = endpoint{[4]byte{198, 18, 0, 2}, 8443}
+// Ports of the routes.
+const (
+	counterPort   = 8080
+	cataloguePort = 8443
 )
 
+// counterRoute and catalogueRoute return the addresses of the routes. No socket is bound to them.
+func (w *world) counterRoute() endpoint   { return endpoint{w.addr(5, 1).As4(), counterPort} }
+func (w *world) catalogueRoute() endpoint { return endpoint{w.addr(5, 2).As4(), cataloguePort} }
+
 // reusedPort: a host is drained and leaves, and its address goes to a host of another service. Later a client uses
 // ports again from which it had flows to that address, and the network loses the first SYN of a few of them.
 func reusedPort(w *world) int {
 	w.setState(7, []string{counter, catalogue}, []route{
-		{addr: counterRoute, kind: "non_idempotent", service: counter}, {addr: catalogueRoute, kind: "download", service: catalogue},
+		{addr: w.counterRoute(), kind: "non_idempotent", service: counter}, {addr: w.catalogueRoute(), kind: "download", service: catalogue},
 	})
+	// The side machines of the site mbps-ledge: seven of counter and three of catalogue.
 	sides := []*side{
 		{number: 1, zone: "butterworth", service: counter}, {number: 2, zone: "butterworth", service: counter},
-		{number: 3, zone: "bukit-mertajam", service: counter},
-		{number: 4, zone: "butterworth", service: catalogue}, {number: 5, zone: "bukit-mertajam", service: catalogue},
+		{number: 3, zone: "butterworth", service: counter},
+		{number: 4, zone: "bukit-mertajam", service: counter}, {number: 5, zone: "bukit-mertajam", service: counter},
+		{number: 6, zone: "nibong-tebal", service: counter}, {number: 7, zone: "nibong-tebal", service: counter},
+		{number: 8, zone: "butterworth", service: catalogue}, {number: 9, zone: "bukit-mertajam", service: catalogue},
+		{number: 10, zone: "nibong-tebal", service: catalogue},
 	}
 	if _, err := w.deploy(2, sides); err != nil {
 		return w.fail(err)
@@ -98,7 +107,7 @@
 
 // oneRequest opens a flow from a port, sends one request, closes the flow and returns the host that took it.
 func oneRequest(w *world, c *clients, port uint16, id string) *host {
-	f, ok := c.open(port, counterRoute)
+	f, ok := c.open(port, w.counterRoute())
 	if !ok {
 		w.logf("client: request %s: the flow did not open", id)
 		return nil
@@ -124,7 +133,7 @@
 				case <-time.After(100 * time.Millisecond):
 				}
 				p := uint16(port.Add(1))
-				to := []endpoint{counterRoute, catalogueRoute}[p%2]
+				to := []endpoint{c.w.counterRoute(), c.w.catalogueRoute()}[p%2]
 				f, ok := c.open(p, to)
 				if !ok {
 					continue
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -119,7 +119,7 @@
 	return true
 }
 
-// addr returns the address of a machine. Kinds: 1 front, 2 side, 3 client, 4 store.
+// addr returns a loopback address. Kinds: 1 front, 2 side, 3 client, 4 store, 5 route.
 func (w *world) addr(kind, number int) netip.Addr {
 	return netip.AddrFrom4([4]byte{127, w.net, byte(kind), byte(number)})
 }
