Log lines of copies of opening packets

Change: balancers log such copies with the owner, its service and its age; agents log copy and sender_version. The lines show the cause: outcome=followed owner_age=1m1.65s service=wuno96b to=127.77.2.1:25040 version=7 at the balancer, then at that agent outcome=opened copy=1 open=1 sender_version=7 version=7. So the balancer took the owner of a flow that had been closed 61 s before for the owner of the new one and vouched for the service that now has the address. Ruled out by the same lines: an entry of the flow at the agent (open=1 is the new flow, the process had just started), different states (both have 7), and a placement by the route (there is no line outcome=placed for these flows).

--- a/internal/flowagent/flowagent.go
+++ b/internal/flowagent/flowagent.go
@@ -85,12 +85,22 @@
 	JudgementChanged bool
 	// Waited is how long an opening packet has waited in the queue.
 	Waited time.Duration
+	// Opening describes the opening packet of an outcome Opened.
+	Opening Opening
 	// ToBackend is the packet to send to the backend server, modified in place, or nil.
 	ToBackend []byte
 	Replies   []Reply
 	Sends     []hop.Send
 }
 
+// Opening describes an opening packet that went to the backend server.
+type Opening struct {
+	// Copy is the number of the copy, zero for the first opening packet of a flow.
+	Copy uint32
+	// SenderVersion is the version of the desired state by which the packet was routed.
+	SenderVersion uint64
+}
+
 // Sizes of the agent's tables, in entries.
 const (
 	// flowTableSize bounds the flows of the backend server.
--- a/internal/flowagent/forward.go
+++ b/internal/flowagent/forward.go
@@ -62,7 +62,8 @@
 	e.Balancer = f.Balancer
 	a.flows.RecordCallerPacket(now, p.CallerKey(), e, p)
 	a.rememberSent(f, p)
-	return Decision{Outcome: Opened, Key: p.CallerKey(), ToBackend: p.Raw}
+	opening := Opening{Copy: p.Ack, SenderVersion: f.Version}
+	return Decision{Outcome: Opened, Key: p.CallerKey(), ToBackend: p.Raw, Opening: opening}
 }
 
 // refusalReason returns why the backend server must not receive a new flow, or "" if it may receive one.
--- a/internal/flowbalancer/flowbalancer.go
+++ b/internal/flowbalancer/flowbalancer.go
@@ -59,8 +59,10 @@
 	Reset []byte
 	// Unresponsive is an agent that left an opening packet unanswered, or the zero address.
 	Unresponsive netip.AddrPort
-	// Service is the service of an opening packet.
+	// Service is the service of the agent that an opening packet goes to. It is empty for other packets.
 	Service string
+	// OwnerAge is the time since the owner that a copy of an opening packet follows was placed or confirmed.
+	OwnerAge time.Duration
 }
 
 // owner is the agent that has a flow, as far as this balancer knows.
@@ -126,8 +128,10 @@
 	known, ok := b.owners.Get(key)
 	isCopy := ok && p.Ack > 0
 	if isCopy && known.confirmed {
-		d.Outcome = Followed
-		return b.forward(d, known.agent, hop.Forward{Version: b.routes.Version(), Service: b.serviceOf(known.agent)}, p, buf)
+		d.Outcome, d.OwnerAge = Followed, now.Sub(known.placedAt)
+		d.Service = b.serviceOf(known.agent)
+		f := hop.Forward{Version: b.routes.Version(), Service: placement.ServiceHash(d.Service)}
+		return b.forward(d, known.agent, f, p, buf)
 	}
 	r := b.routes.Lookup(p.Dst)
 	if r == nil {
@@ -152,10 +156,10 @@
 	return b.forward(d, agent, f, p, buf)
 }
 
-// serviceOf returns the hash of the service at an agent.
-func (b *Balancer) serviceOf(agent netip.AddrPort) uint32 {
+// serviceOf returns the service at an agent, or "" if the agent is unknown.
+func (b *Balancer) serviceOf(agent netip.AddrPort) string {
 	m, _ := b.directory.Member(agent)
-	return placement.ServiceHash(m.Backend.Service)
+	return m.Backend.Service
 }
 
 // refuse answers an opening packet with a reset, which tells the caller that no request has run. If
--- a/internal/flowproc/agent.go
+++ b/internal/flowproc/agent.go
@@ -209,7 +209,10 @@
 	}
 	switch d.Outcome {
 	case flowagent.Opened:
-		a.log.flow(now, d.Key, d.Outcome.String(), false, fields{"open": a.agent.Load().Flows, "active": a.agent.Load().Active, "waited": d.Waited, "version": a.follower.Table().Version()})
+		a.log.flow(now, d.Key, d.Outcome.String(), false, fields{
+			"open": a.agent.Load().Flows, "active": a.agent.Load().Active, "waited": d.Waited,
+			"copy": d.Opening.Copy, "version": a.follower.Table().Version(), "sender_version": d.Opening.SenderVersion,
+		})
 	case flowagent.Queued:
 		a.log.flow(now, d.Key, d.Outcome.String(), true, fields{"reason": d.Reason, "active": a.agent.Load().Active, "open": a.agent.Load().Flows})
 	case flowagent.Refused, flowagent.FlowReset, flowagent.Unresolved, flowagent.Probed:
--- a/internal/flowproc/balancer.go
+++ b/internal/flowproc/balancer.go
@@ -153,10 +153,16 @@
 	b.logDecision(now, &d)
 }
 
-// logDecision logs a decision to place, reroute or refuse a flow, or to drop a packet because this balancer
-// is not ready.
+// logDecision logs a decision to place, reroute or refuse a flow, to send a copy of an opening packet to the
+// owner of its flow, or to drop a packet because this balancer is not ready.
 func (b *Balancer) logDecision(now time.Time, d *flowbalancer.Decision) {
 	switch d.Outcome {
+	case flowbalancer.Followed:
+		if d.Service != "" {
+			b.log.flow(now, d.Key, d.Outcome.String(), true, fields{
+				"to": d.To, logging.FieldService: d.Service, "version": b.follower.Table().Version(), "owner_age": d.OwnerAge,
+			})
+		}
 	case flowbalancer.Placed:
 		b.log.flow(now, d.Key, d.Outcome.String(), false, fields{
 			"to": d.To, logging.FieldService: d.Service, "version": b.follower.Table().Version(),
