A balancer sends copies of opening packets by the route, not by the record of an earlier flow

Cause: the table of owners keeps the agent of a flow after the flow has ended, after its route has moved or was dropped, and after its address has gone to another service. A copy of an opening packet followed such a record without a look at the route, and the balancer stated the service that the agent has now as the one chosen by the route, under its own version of the desired state. The agent compared that service with its own and could not object. Change: the route is looked up for each opening packet. A record counts only for copies within flow.OpeningTimeout of its last confirmation, and a copy goes to the owner only if the owner is not dead and the route allows the service that is there now. Otherwise the copy is placed like a first opening packet, so the service that an agent is told is always one of the route. On the way: an agent that left an opening packet of an earlier flow unanswered is not taken for unresponsive, and copies no longer go to a dead owner.

--- a/internal/flowbalancer/flowbalancer.go
+++ b/internal/flowbalancer/flowbalancer.go
@@ -61,16 +61,18 @@
 	Unresponsive netip.AddrPort
 	// Service is the service of the agent that an opening packet goes to. It is empty for other packets.
 	Service string
-	// OwnerAge is the time since the owner that a copy of an opening packet follows was placed or confirmed.
+	// OwnerAge is the time since the owner that a copy of an opening packet follows was recorded.
 	OwnerAge time.Duration
 }
 
-// owner is the agent that has a flow, as far as this balancer knows.
+// owner is the agent that has a flow, as far as this balancer knows. The record may outlive the flow, the route by
+// which the flow was placed, and the agent.
 type owner struct {
 	agent netip.AddrPort
 	// confirmed is set once the agent has sent a notice that it has the flow.
 	confirmed bool
-	placedAt  time.Time
+	// recordedAt is when this balancer placed the flow, or received the last notice about it.
+	recordedAt time.Time
 }
 
 // noticeTimeout is how long an agent has to confirm a flow that the balancer has placed at it. After that, a
@@ -120,40 +122,56 @@
 	return b.forwardToOwner(&p, buf)
 }
 
-// handleOpening places a new flow. A copy of an opening packet goes to the owner if the owner has
+// handleOpening places a new flow by its route. A copy of an opening packet goes to the owner if the owner has
 // confirmed the flow.
 func (b *Balancer) handleOpening(now time.Time, p *flow.Packet, buf []byte) Decision {
 	key := p.CallerKey()
-	d := Decision{Key: key}
-	known, ok := b.owners.Get(key)
-	isCopy := ok && p.Ack > 0
-	if isCopy && known.confirmed {
-		d.Outcome, d.OwnerAge = Followed, now.Sub(known.placedAt)
-		d.Service = b.serviceOf(known.agent)
-		f := hop.Forward{Version: b.routes.Version(), Service: placement.ServiceHash(d.Service)}
-		return b.forward(d, known.agent, f, p, buf)
-	}
+	d := Decision{Key: key, Outcome: Placed}
 	r := b.routes.Lookup(p.Dst)
 	if r == nil {
 		return b.refuse(d, NoRoute, b.routes.Version() > 0)
 	}
-	d.Outcome = Placed
-	d.Service = r.Pick(key.Hash())
+	known, isCopy := b.ownerOfOpening(now, key, p)
+	if isCopy && known.confirmed && b.mayTakeCopy(r, known.agent) {
+		d.Outcome, d.OwnerAge = Followed, now.Sub(known.recordedAt)
+		d.Service = b.serviceOf(known.agent)
+		return b.forward(d, known.agent, b.openingForward(d.Service), p, buf)
+	}
 	var avoid netip.AddrPort
-	if isCopy && now.Sub(known.placedAt) >= noticeTimeout {
+	if isCopy && !known.confirmed && now.Sub(known.recordedAt) >= noticeTimeout {
 		avoid = known.agent
 		d.Unresponsive, d.Outcome = avoid, Rerouted
 		b.directory.MarkUnresponsive(now, avoid)
 	}
-	agent, service, found := b.directory.ChooseAmong(now, r, d.Service, func(a netip.AddrPort) bool { return a == avoid })
+	picked := r.Pick(key.Hash())
+	agent, service, found := b.directory.ChooseAmong(now, r, picked, func(a netip.AddrPort) bool { return a == avoid })
 	d.Service = service
 	if !found {
 		return b.refuse(d, NoBackend, b.converged)
 	}
 	b.directory.RecordPlacement(agent)
-	b.owners.Add(key, owner{agent: agent, placedAt: now})
-	f := hop.Forward{Version: b.routes.Version(), Service: placement.ServiceHash(d.Service)}
-	return b.forward(d, agent, f, p, buf)
+	b.owners.Add(key, owner{agent: agent, recordedAt: now})
+	return b.forward(d, agent, b.openingForward(service), p, buf)
+}
+
+// ownerOfOpening returns the owner of the flow that a copy of an opening packet belongs to. It returns false for the
+// first opening packet of a flow, and if the recorded owner is that of an earlier flow of the same key: callers use
+// their ports again, and the first opening packet of the new flow may have been lost.
+func (b *Balancer) ownerOfOpening(now time.Time, key flow.Key, p *flow.Packet) (owner, bool) {
+	known, ok := b.owners.Get(key)
+	return known, ok && p.Ack > 0 && now.Sub(known.recordedAt) < flow.OpeningTimeout
+}
+
+// mayTakeCopy reports whether a copy of an opening packet may go to the owner of its flow: the route may have moved
+// since the owner was recorded, the owner may have ended, and its address may have gone to another service.
+func (b *Balancer) mayTakeCopy(r *route.Route, agent netip.AddrPort) bool {
+	m, ok := b.directory.Member(agent)
+	return ok && m.Liveness != fleet.Dead && r.Allows(m.Backend.Service)
+}
+
+// openingForward returns the header of an opening packet for an agent of a service of its route.
+func (b *Balancer) openingForward(service string) hop.Forward {
+	return hop.Forward{Version: b.routes.Version(), Service: placement.ServiceHash(service)}
 }
 
 // serviceOf returns the service at an agent, or "" if the agent is unknown.
@@ -222,5 +240,5 @@
 		return
 	}
 	b.directory.MarkResponsive(from)
-	b.owners.Add(n.Key, owner{agent: from, confirmed: true, placedAt: now})
+	b.owners.Add(n.Key, owner{agent: from, confirmed: true, recordedAt: now})
 }
--- a/internal/standin/flows/caller.go
+++ b/internal/standin/flows/caller.go
@@ -24,6 +24,14 @@
 	return &Caller{Key: key, Wire: Codec{}, seq: uint32(key.Hash())}
 }
 
+// Next returns the caller's endpoint of the next flow from the same port. Like those of real callers, its initial
+// sequence number is unrelated to that of the earlier flow.
+func (c *Caller) Next() *Caller {
+	next := NewCaller(c.Key)
+	next.Wire, next.seq = c.Wire, c.seq+isnStep
+	return next
+}
+
 // Opening returns the opening packet, or a further copy of it.
 func (c *Caller) Opening() []byte {
 	raw := c.build(flow.SYN, c.seq, c.openings, nil)
