An agent checks the route of each opening packet against its own state

Cause: an agent compared the service that the sender had chosen with its own service and looked at its own desired state only if that was newer than the sender's. Change: routeRefusal decides for first packets, copies and packets that have waited, at the moment of delivery. The agent's own state decides unless the sender's is newer.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -15,6 +15,7 @@
 	"passed/backend_fails":    "requests fail at the agent's backend server (see judgement on the backend server changed); the packet went to another agent",
 	"refused/returned":        "the backend server returned the opening packet, and no other took it; nothing has run",
 	"refused/older_state":     "the agent had a newer desired state than the balancer, which has no such route; nothing has run",
+	"refused/other_service":   "the route does not lead to the agent's service (the route has moved, or the address went to another service), and no other agent took the flow; nothing has run",
 	"ended/no_agent_has_it":   "no agent's backend server held the flow any more, or its instance was lost (see members with liveness=dead); the caller got a reset",
 	"ended/":                  "the flow's backend server has ended or restarted (see born) and lost its flows; the caller got a reset",
 	"ended/backend_lost_flow": "the backend server returned a packet of a flow that it had held; the caller got a reset",
--- /dev/null
+++ b/internal/flowagent/delivery_test.go
@@ -0,0 +1,86 @@
+package flowagent_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/almondledge/almondledge/internal/fleet"
+	"github.com/almondledge/almondledge/internal/flow"
+	"github.com/almondledge/almondledge/internal/hop"
+	"github.com/almondledge/almondledge/internal/placement"
+	"github.com/almondledge/almondledge/internal/standin/flows"
+)
+
+// sendOpeningByVersion sends an opening packet to the agent of a node as a balancer that has the given version of the
+// desired state and has chosen the node's service.
+func (cl *cluster) sendOpeningByVersion(n *node, version uint64, raw []byte) {
+	cl.execute(n, n.agent.HandleForward(cl.now, hop.Forward{
+		Balancer: flow.EndpointOf(cl.balancerAddr), Version: version,
+		Service: placement.ServiceHash(n.member.Backend.Service), Packet: raw,
+	}))
+}
+
+// Guards against an agent that trusts its sender's choice of a service although its own desired state, of the same
+// version, sends the route elsewhere.
+func TestAgentChecksTheRouteAgainstItsOwnState(t *testing.T) {
+	is := is.New(t)
+	cl, beta := newClusterOfTwoServices(t)
+	alpha := cl.nodes[0]
+	cl.routeTo("beta")
+	c := cl.newCaller(1000)
+	cl.sendOpeningByVersion(alpha, cl.routes.Version(), c.Opening())
+	is.True(!alpha.backend.Holds(c.Key))
+	is.True(beta.backend.Holds(c.Key))
+}
+
+// A sender whose desired state is newer than the agent's decides: the agent learns of the change later.
+func TestAgentTrustsASenderWithANewerState(t *testing.T) {
+	is := is.New(t)
+	cl, beta := newClusterOfTwoServices(t)
+	c := cl.newCaller(1000)
+	cl.sendOpeningByVersion(beta, cl.routes.Version()+1, c.Opening())
+	is.True(beta.backend.Holds(c.Key))
+}
+
+// Guards against an agent that goes back behind a change that it knows: the first opening packet was delivered before
+// the change and its answer was lost, and a copy comes through a balancer that has not received the change.
+func TestCopyIsNotDeliveredToAServiceThatItsRouteHasLeft(t *testing.T) {
+	for _, service := range []string{"beta", ""} {
+		is := is.New(t)
+		cl, beta := newClusterOfTwoServices(t)
+		alpha := cl.nodes[0]
+		c := cl.newCaller(1000)
+		before := cl.routes.Version()
+		alpha.backendDown = true // the first opening packet is lost on its way to the backend server
+		cl.sendOpeningByVersion(alpha, before, c.Opening())
+		alpha.backendDown = false
+		cl.routeTo(service)
+		cl.now = cl.now.Add(200 * time.Millisecond)
+		cl.sendOpeningByVersion(alpha, before, c.Opening())
+		is.True(!alpha.backend.Holds(c.Key))
+		is.Equal(beta.backend.Holds(c.Key), service == "beta")
+		is.Equal(c.Reset, service == "")
+	}
+}
+
+// A copy of the packet that opened a flow goes to the backend server that has the flow, also while that one drains:
+// the first answer may have been lost.
+func TestCopyReachesADrainingBackendThatHasTheFlow(t *testing.T) {
+	is := is.New(t)
+	cl := newCluster(t, 2)
+	owner := cl.nodes[0]
+	c := cl.newCaller(1000)
+	cl.sendOpeningTo(owner, c.Opening())
+	other := flows.NewCaller(c.Key) // has not received the answer
+	other.Opening()
+	cl.callers[c.Key] = other
+	b := owner.member.Backend
+	b.State = fleet.BackendDraining
+	cl.setBackend(owner, b)
+	cl.now = cl.now.Add(200 * time.Millisecond)
+	cl.sendOpeningTo(owner, other.Opening())
+	is.True(other.Open)
+	is.True(!cl.nodes[1].backend.Holds(c.Key))
+}
--- a/internal/flowagent/forward.go
+++ b/internal/flowagent/forward.go
@@ -38,7 +38,7 @@
 // handleOpening decides what to do with an opening packet.
 func (a *Agent) handleOpening(now time.Time, f hop.Forward, p *flow.Packet) Decision {
 	key := p.CallerKey()
-	if e := a.flows.Get(key); e != nil && e.Phase != flowtable.Ended && (p.Ack > 0 || e.Phase != flowtable.Open) {
+	if e := a.flows.Get(key); e != nil && isCopy(e, p) && a.routeRefusal(f, p) == "" {
 		return a.deliverOpening(now, f, p, e)
 	}
 	if reason := a.refusalReason(f, p); reason != "" {
@@ -58,6 +58,11 @@
 	return a.deliverOpening(now, f, p, a.flows.Begin(now, key, f.Balancer))
 }
 
+// isCopy reports whether an opening packet is a copy of the one that opened a flow.
+func isCopy(e *flowtable.Entry, p *flow.Packet) bool {
+	return e.Phase != flowtable.Ended && (p.Ack > 0 || e.Phase != flowtable.Open)
+}
+
 func (a *Agent) deliverOpening(now time.Time, f hop.Forward, p *flow.Packet, e *flowtable.Entry) Decision {
 	e.Balancer = f.Balancer
 	a.flows.RecordCallerPacket(now, p.CallerKey(), e, p)
@@ -74,17 +79,26 @@
 	if s := a.routes.Service(a.cfg.Service); s != nil && s.MaxFlows > 0 && a.flows.Open() >= int(s.MaxFlows) {
 		return "backend_full"
 	}
-	if f.Version >= a.routes.Version() {
-		if f.Service != placement.ServiceHash(a.cfg.Service) {
-			return "other_service"
-		}
-		return ""
+	return a.routeRefusal(f, p)
+}
+
+// routeRefusal returns why the route of an opening packet does not lead to the backend server, or "" if it does.
+// The sender has chosen a service by its desired state. This agent's own state decides as well, unless the sender's
+// is newer.
+func (a *Agent) routeRefusal(f hop.Forward, p *flow.Packet) string {
+	own := a.routes.Version()
+	if f.Version >= own && f.Service != placement.ServiceHash(a.cfg.Service) {
+		return "other_service"
 	}
 	r := a.routes.Lookup(p.Dst)
-	if r == nil || !r.Allows(a.cfg.Service) {
+	switch {
+	case f.Version > own, r != nil && r.Allows(a.cfg.Service):
+		return ""
+	case f.Version == own:
+		return "other_service"
+	default:
 		return "older_state"
 	}
-	return ""
 }
 
 // forwardOpening forwards an opening packet to another agent. If no other agent can be chosen, it answers
