An agent tells opening packets of a new flow from copies

Cause: an entry of the flow table outlives a flow that its caller has left without a word (until the idle timeout). A copy of the opening packet of the caller's next flow from the same port counted as a copy of the earlier one and was delivered without a look at the state of the backend server, so also to one that drains or is full, or whose requests fail. Change: an entry keeps the sequence number of its opening packet, which all copies share. Another number opens a new flow, which passes all checks. If the agent knows the flow from its backend server only, as after a restart, a copy counts for flow.OpeningTimeout. TestCopyReachesADrainingBackendThatHasTheFlow holds before and after: a copy of a flow that was delivered still reaches it.

--- a/internal/flowagent/delivery_test.go
+++ b/internal/flowagent/delivery_test.go
@@ -1,6 +1,7 @@
 package flowagent_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -65,6 +66,33 @@
 	}
 }
 
+// Guards against new flows at a draining backend server: an agent took the copy of a new opening packet for a copy of
+// the packet that had opened an earlier flow of the same key, which its caller had left without a word.
+func TestReusedPortOfAnAbandonedFlowDoesNotReachADrainingBackend(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		t.Run(fmt.Sprint("agent restarted: ", restarted), func(t *testing.T) {
+			is := is.New(t)
+			cl := newCluster(t, 2)
+			before, owner := cl.openFlow(reusedPort)
+			if restarted { // the agent knows the flow from a packet of its backend server only
+				cl.restartAgent(owner)
+				cl.shareMembers()
+				cl.sendFromCaller(before.Request("again"))
+			}
+			cl.now = cl.now.Add(20 * time.Second)
+			b := owner.member.Backend
+			b.State = fleet.BackendDraining
+			cl.setBackend(owner, b)
+			c := before.Next()
+			c.Opening() // lost
+			received := 0
+			owner.backend.OnOpening = func() { received++ }
+			cl.sendOpeningTo(owner, c.Opening())
+			is.Equal(received, 0)
+		})
+	}
+}
+
 // A copy of the packet that opened a flow goes to the backend server that has the flow, also while that one drains:
 // the first answer may have been lost.
 func TestCopyReachesADrainingBackendThatHasTheFlow(t *testing.T) {
--- a/internal/flowagent/forward.go
+++ b/internal/flowagent/forward.go
@@ -38,7 +38,7 @@
 // handleOpening decides what to do with an opening packet.
 func (a *Agent) handleOpening(now time.Time, f hop.Forward, p *flow.Packet) Decision {
 	key := p.CallerKey()
-	if e := a.flows.Get(key); e != nil && isCopy(e, p) && a.routeRefusal(f, p) == "" {
+	if e := a.flows.Get(key); e != nil && isCopy(now, e, p) && a.routeRefusal(f, p) == "" {
 		return a.deliverOpening(now, f, p, e)
 	}
 	if reason := a.refusalReason(f, p); reason != "" {
@@ -59,8 +59,8 @@
 }
 
 // isCopy reports whether an opening packet is a copy of the one that opened a flow.
-func isCopy(e *flowtable.Entry, p *flow.Packet) bool {
-	return e.Phase != flowtable.Ended && (p.Ack > 0 || e.Phase != flowtable.Open)
+func isCopy(now time.Time, e *flowtable.Entry, p *flow.Packet) bool {
+	return e.IsOpenedBy(now, p) && (p.Ack > 0 || e.Phase != flowtable.Open)
 }
 
 func (a *Agent) deliverOpening(now time.Time, f hop.Forward, p *flow.Packet, e *flowtable.Entry) Decision {
--- a/internal/flowtable/flowtable.go
+++ b/internal/flowtable/flowtable.go
@@ -49,6 +49,10 @@
 	// hasNextSeq is set once the backend server has sent a packet, so that nextSeq is known.
 	hasNextSeq            bool
 	callerFin, backendFin bool
+	// hasOpeningSeq is set once an opening packet of the flow has passed, so that openingSeq is known.
+	hasOpeningSeq bool
+	// openingSeq is the sequence number of the flow's opening packet and of its copies.
+	openingSeq uint32
 	// nextSeq is the sequence number after the last byte that the backend server has sent.
 	nextSeq uint32
 	// CallerAck is the number that the caller acknowledged last.
@@ -153,6 +157,20 @@
 	return distance <= maxAckDistance && distance >= -maxAckDistance
 }
 
+// IsOpenedBy reports whether an opening packet has opened the flow or is a copy of the one that has. A packet with
+// another sequence number opens the next flow of the same key, because the caller has abandoned this one. If the flow
+// is known from its backend server only, a copy can arrive as long as the caller waits for an answer.
+func (e *Entry) IsOpenedBy(now time.Time, p *flow.Packet) bool {
+	switch {
+	case e.Phase == Ended:
+		return false
+	case e.hasOpeningSeq:
+		return p.Seq == e.openingSeq
+	default:
+		return e.Age(now) < flow.OpeningTimeout
+	}
+}
+
 // AwaitsAnswer reports whether the backend server has received a request of the flow and has not answered it,
 // while the caller still waits.
 func (e *Entry) AwaitsAnswer() bool {
@@ -179,7 +197,11 @@
 func (t *Table) RecordCallerPacket(now time.Time, key flow.Key, e *Entry, p *flow.Packet) {
 	t.flows.Get(key) // marks the flow as most recently used
 	e.lastSeen = now
-	if p.Opens() || e.Phase == Ended {
+	if p.Opens() {
+		e.openingSeq, e.hasOpeningSeq = p.Seq, true
+		return
+	}
+	if e.Phase == Ended {
 		return
 	}
 	if p.Flags.Has(flow.ACK) {
--- a/internal/flowtable/flowtable_test.go
+++ b/internal/flowtable/flowtable_test.go
@@ -30,6 +30,48 @@
 	is.Equal(table.Open(), 1)
 }
 
+// Guards against the opening packet of a new flow that counts as a copy of the one before it from the same port.
+func TestOpeningPacketsAreToldFromCopies(t *testing.T) {
+	const isn = 1000
+	opening := func(seq, number uint32) *flow.Packet { return &flow.Packet{Flags: flow.SYN, Seq: seq, Ack: number} }
+	answer := &flow.Packet{Flags: flow.SYN | flow.ACK, Seq: 100}
+	for _, test := range []struct {
+		name  string
+		begin func(*flowtable.Table, flow.Key)
+		after time.Duration
+		seq   uint32
+		want  bool
+	}{
+		{"copy", beginWith(opening(isn, 0)), time.Second, isn, true},
+		{"late copy", beginWith(opening(isn, 0)), time.Minute, isn, true},
+		{"other flow", beginWith(opening(isn, 0)), time.Second, isn + 1, false},
+		{"copy of a flow known from its answer", beginWith(answer), time.Second, isn, true},
+		{"too late for a copy of a flow known from its answer", beginWith(answer), flow.OpeningTimeout, isn, false},
+		{"flow that has ended", beginWith(opening(isn, 0), &flow.Packet{Flags: flow.RST}), time.Second, isn, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			table := flowtable.New(10)
+			test.begin(table, keyWithPort(1))
+			is.Equal(table.Get(keyWithPort(1)).IsOpenedBy(start.Add(test.after), opening(test.seq, 1)), test.want)
+		})
+	}
+}
+
+// beginWith returns a function that records packets of a flow: opening packets as the caller's, others as those of
+// the backend server.
+func beginWith(packets ...*flow.Packet) func(*flowtable.Table, flow.Key) {
+	return func(table *flowtable.Table, key flow.Key) {
+		for _, p := range packets {
+			if p.Opens() {
+				table.RecordCallerPacket(start, key, table.Begin(start, key, flow.Endpoint{}), p)
+			} else {
+				table.RecordBackendPacket(start, key, p)
+			}
+		}
+	}
+}
+
 // Guards against flows whose first request never arrives and counts as in progress for ever: their agents
 // would be considered overloaded for ever.
 func TestExpectedRequestTimesOut(t *testing.T) {
--- a/internal/standin/flows/backend.go
+++ b/internal/standin/flows/backend.go
@@ -20,12 +20,13 @@
 	Breaks bool
 	// Runs counts the requests that the backend server has run, without copies.
 	Runs int
-	// OnRun, if set, is called with each request that is run, and OnOpen with each flow
-	// that is opened.
-	OnRun  func(request []byte)
-	OnOpen func(key flow.Key)
-	isn    uint32
-	flows  map[flow.Key]*backendFlow
+	// OnRun, if set, is called with each request that is run, OnOpen with each flow that is
+	// opened, and OnOpening for each opening packet that is received.
+	OnRun     func(request []byte)
+	OnOpen    func(key flow.Key)
+	OnOpening func()
+	isn       uint32
+	flows     map[flow.Key]*backendFlow
 }
 
 type backendFlow struct {
@@ -63,6 +64,9 @@
 	}
 	key := p.CallerKey()
 	f := b.flows[key]
+	if p.Opens() && b.OnOpening != nil {
+		b.OnOpening()
+	}
 	switch {
 	case p.Opens() && f == nil && b.Full, !p.Opens() && !f.matches(&p):
 		p.Flags |= flow.Returned
