Searches among many agents ask the ones that have restarted, and all up to 768

Cause: above 96 agents a search listed those of the route's services and cut the list after 96. A record that changes moves to the end of that list, so the agents that had restarted, whose flows nobody has claimed, were never asked. Change: searches ask in rounds of 96 agents, 768 in all, and are complete up to that number. Above 96 they begin with the agents that are younger than their backend servers and than a flow can be, first the last one that forwarded the packet.

--- a/internal/flowagent/search.go
+++ b/internal/flowagent/search.go
@@ -27,8 +27,9 @@
 	searchRetryDelay = 300 * time.Millisecond
 	// searchTableSize bounds the searches that are open or ended recently.
 	searchTableSize = 2048
-	// maxQueried bounds the agents queried in one search.
-	maxQueried = 96
+	// maxQueried bounds the agents queried at a time, maxSearched those queried in one search.
+	maxQueried  = 96
+	maxSearched = 768
 )
 
 // search is a home agent's search for the owner of a flow, among all agents whose backend servers
@@ -43,8 +44,8 @@
 	// pending lists the queried agents that have not denied the flow. Agents that answered Inconclusive are
 	// also in inconclusive; they have received the packet.
 	pending, inconclusive []flow.Endpoint
-	// remaining lists the agents that are queried only if the nearby agents do not have the flow.
-	remaining []netip.AddrPort
+	// remaining lists the agents that are queried only if those before them do not have the flow.
+	remaining []flow.Endpoint
 	// complete is set if no agents except the listed ones may have the flow.
 	complete    bool
 	forward     hop.Forward
@@ -82,51 +83,24 @@
 	a.listTargets(now, s)
 	nearby, others := a.splitByDistance(s.remaining, s.forward.Balancer)
 	if len(nearby) == 0 || a.cfg.Directory.IsColdStart(now) {
-		return a.queryRemaining(now, d, s) // after a cold start probably no agent has the flow
+		return a.queryNext(now, d, s, len(s.remaining)) // after a cold start probably no agent has the flow
 	}
-	s.remaining = others
-	return a.query(now, d, s, nearby)
+	s.remaining = slices.Concat(nearby, others)
+	return a.queryNext(now, d, s, len(nearby))
 }
 
-// listTargets lists the agents that may have the flow of a search, as known now, and discards
-// earlier answers.
-func (a *Agent) listTargets(now time.Time, s *search) {
-	agents, complete := a.searchTargets(s.serviceAddr)
-	s.remaining = slices.DeleteFunc(agents, func(agent netip.AddrPort) bool { return agent == a.cfg.Self })
-	s.targetsListed, s.complete = now, complete
-	s.pending, s.inconclusive = s.pending[:0], nil
-}
-
-// splitByDistance returns the agents in the data centre of a balancer, and the agents in other data centres
-// (others). If the balancer is unknown, it returns all agents as others.
-func (a *Agent) splitByDistance(agents []netip.AddrPort, balancer flow.Endpoint) (nearby, others []netip.AddrPort) {
-	m, known := a.cfg.Directory.Member(balancer.AddrPort())
-	for _, agent := range agents {
-		other, _ := a.cfg.Directory.Member(agent)
-		if known && other.DataCentre == m.DataCentre {
-			nearby = append(nearby, agent)
-		} else {
-			others = append(others, agent)
-		}
-	}
-	return nearby, others
-}
-
-// queryRemaining queries all agents of a search that have not been queried yet.
-func (a *Agent) queryRemaining(now time.Time, d Decision, s *search) Decision {
-	remaining := s.remaining
-	s.remaining = nil
-	return a.query(now, d, s, remaining)
-}
-
-// query sends the query of a search to some agents.
-func (a *Agent) query(now time.Time, d Decision, s *search, agents []netip.AddrPort) Decision {
+// queryNext queries the first agents of a search that have not been queried yet: count of them, but not more than
+// maxQueried.
+func (a *Agent) queryNext(now time.Time, d Decision, s *search, count int) Decision {
+	count = min(count, maxQueried, len(s.remaining))
+	agents := s.remaining[:count]
+	s.remaining = s.remaining[count:]
 	d.Outcome = Searched
 	s.lastQuery = now
 	q := hop.Query{Key: d.Key, Ack: s.ack, Home: a.self}
 	for _, to := range agents {
-		s.pending = append(s.pending, flow.EndpointOf(to))
-		d.Sends = append(d.Sends, hop.Send{To: to, Payload: q.AppendTo(nil)})
+		s.pending = append(s.pending, to)
+		d.Sends = append(d.Sends, hop.Send{To: to.AddrPort(), Payload: q.AppendTo(nil)})
 	}
 	if len(s.pending) == 0 {
 		return a.conclude(now, d, s)
@@ -150,25 +124,6 @@
 	return a.cfg.Self, true
 }
 
-// searchTargets returns the agents that may have a flow to serviceAddr, and whether the list is complete. If
-// more than maxQueried agents may have the flow, it lists agents of the route's current services. This list
-// is incomplete, because flows stay where they are when their route changes.
-func (a *Agent) searchTargets(serviceAddr flow.Endpoint) (agents []netip.AddrPort, complete bool) {
-	if a.cfg.Directory.SearchTargetCount() <= maxQueried {
-		return a.cfg.Directory.SearchTargets(), true
-	}
-	r := a.routes.Lookup(serviceAddr)
-	if r == nil {
-		return nil, false
-	}
-	for _, share := range r.Shares {
-		for _, m := range a.cfg.Directory.Agents(share.Service) {
-			agents = append(agents, m.Addr)
-		}
-	}
-	return agents[:min(len(agents), maxQueried)], false
-}
-
 // HandleQuery answers whether this agent has a flow.
 func (a *Agent) HandleQuery(now time.Time, q hop.Query) []hop.Send {
 	answer := hop.Answer{Key: q.Key, Finding: hop.NotHeld}
@@ -209,7 +164,7 @@
 	case len(s.pending) > 0:
 		return d
 	case len(s.remaining) > 0:
-		return a.queryRemaining(now, d, s)
+		return a.queryNext(now, d, s, len(s.remaining))
 	default:
 		return a.conclude(now, d, s)
 	}
@@ -271,10 +226,10 @@
 	case now.Sub(s.lastQuery) < queryTimeout, allNotHeld && targetsCurrent:
 		return d, false
 	case len(s.remaining) > 0:
-		return a.queryRemaining(now, d, s), true
+		return a.queryNext(now, d, s, len(s.remaining)), true
 	case justStarted || allNotHeld:
 		a.listTargets(now, s) // some agents are new, or did not answer
-		return a.queryRemaining(now, d, s), true
+		return a.queryNext(now, d, s, len(s.remaining)), true
 	default:
 		s.end(now)
 		d.Outcome, d.Reason = Unresolved, "agent_silent"
--- a/internal/placement/directory.go
+++ b/internal/placement/directory.go
@@ -66,6 +66,9 @@
 	// silent holds the agents that are suspected or dead while their backend servers may still hold flows.
 	// The value is the time at which the agent was declared dead, or zero for a suspected agent.
 	silent map[netip.AddrPort]time.Time
+	// restarted maps the agents that have started later than their backend servers, and so may not know all flows
+	// of theirs, to their start times.
+	restarted map[netip.AddrPort]time.Time
 	// olderBackends counts the search targets whose backend servers started long before this
 	// process.
 	olderBackends int
@@ -82,6 +85,7 @@
 		dataCentre: dataCentre,
 		rand:       random,
 		silent:     map[netip.AddrPort]time.Time{},
+		restarted:  map[netip.AddrPort]time.Time{},
 		loads:      map[netip.AddrPort]*load{},
 		services:   map[string][]fleet.Member{},
 		members:    map[netip.AddrPort]fleet.Member{},
--- a/internal/placement/members.go
+++ b/internal/placement/members.go
@@ -20,6 +20,9 @@
 // backend server keeps running.
 const deadGraceTime = time.Second
 
+// restartMargin is how much later than its backend server an agent may start without counting as restarted.
+const restartMargin = 200 * time.Millisecond
+
 // Shorter times for a cold start. No backend server holds flows from before a cold start, so an
 // agent that has not appeared yet cannot hold a flow that is searched for.
 const (
@@ -45,6 +48,7 @@
 		d.members[m.Addr] = *m
 		d.count(m, 1)
 		d.trackSilent(now, m)
+		d.trackRestarted(m)
 		d.addToService(m)
 		d.updateRing(m.Addr, known && isHomeAgent(&old), isHomeAgent(m))
 	}
@@ -62,6 +66,7 @@
 	delete(d.members, addr)
 	delete(d.loads, addr)
 	delete(d.silent, addr)
+	delete(d.restarted, addr)
 }
 
 // UpdateHomes applies the pending changes of home agents and reports whether any were pending.
@@ -127,6 +132,18 @@
 	}
 }
 
+// trackRestarted updates the set of restarted agents after a change of m. The incarnation of a member is the start
+// time of its process.
+func (d *Directory) trackRestarted(m *fleet.Member) {
+	started := time.UnixMilli(int64(m.Incarnation))
+	backendIsOlder := m.Backend.StartMillis == 0 || started.Sub(time.UnixMilli(m.Backend.StartMillis)) > restartMargin
+	if isSearchTarget(m) && backendIsOlder {
+		d.restarted[m.Addr] = started
+		return
+	}
+	delete(d.restarted, m.Addr)
+}
+
 // anySilentMayReturn reports whether some silent agent may return with flows that no other agent knows.
 func (d *Directory) anySilentMayReturn(now time.Time) bool {
 	for addr, died := range d.silent {
@@ -198,6 +215,19 @@
 	return agents
 }
 
+// RestartedAgents returns the search targets whose processes are younger than within and than their backend servers,
+// sorted by address. Only these may have flows that they do not know.
+func (d *Directory) RestartedAgents(now time.Time, within time.Duration) []netip.AddrPort {
+	var agents []netip.AddrPort
+	for addr, started := range d.restarted {
+		if now.Sub(started) < within {
+			agents = append(agents, addr)
+		}
+	}
+	slices.SortFunc(agents, netip.AddrPort.Compare)
+	return agents
+}
+
 // Member returns the record of the process at a.
 func (d *Directory) Member(a netip.AddrPort) (fleet.Member, bool) {
 	m, ok := d.members[a]
