A late opening packet leaves an open flow as it is

Cause: a balancer that wakes forwards the opening packets in its socket. The copies of some had gone through other balancers, and their flows were open. The agent that has such a flow took the first opening packet for a new flow and replaced the entry, and delivered copies; the backend server's answer set the sequence number of the flow back to its start. From then on the caller's packets matched no agent's flow, the search got NotHeld from all, and reset the flow. Change: an opening packet of a flow that is open (same sequence number) is dropped, outcome duplicate, and the balancer is told the owner. An answer to an opening packet sets the numbers of a flow only until the flow is open. The stand-in of the backend server answers each copy alike.

--- a/internal/flowagent/delivery_test.go
+++ b/internal/flowagent/delivery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -100,15 +101,42 @@
 	cl := newCluster(t, 2)
 	owner := cl.nodes[0]
 	c := cl.newCaller(1000)
+	delete(cl.callers, c.Key) // the first answer is lost
 	cl.sendOpeningTo(owner, c.Opening())
-	other := flows.NewCaller(c.Key) // has not received the answer
-	other.Opening()
-	cl.callers[c.Key] = other
+	cl.callers[c.Key] = c
 	b := owner.member.Backend
 	b.State = fleet.BackendDraining
 	cl.setBackend(owner, b)
 	cl.now = cl.now.Add(200 * time.Millisecond)
-	cl.sendOpeningTo(owner, other.Opening())
-	is.True(other.Open)
+	cl.sendOpeningTo(owner, c.Opening())
+	is.True(c.Open)
 	is.True(!cl.nodes[1].backend.Holds(c.Key))
 }
+
+// Guards against open flows that are reset, because an agent took an opening packet that a frozen balancer had kept for
+// a new flow: the answer set the numbers of the flow back to its start, so that the caller's packets belonged to no flow.
+func TestLateOpeningPacketLeavesAnOpenFlowAsItIs(t *testing.T) {
+	for number := range uint32(flow.OpeningPackets) {
+		t.Run(fmt.Sprint("copy ", number), func(t *testing.T) {
+			is := is.New(t)
+			cl := newCluster(t, 2)
+			c, owner := cl.openFlow(1000)
+			owner.backend.Echo = true
+			const answers, answerSize = 80, 1000 // more bytes than the numbers of one flow can be apart
+			for range answers {
+				cl.sendFromCaller(c.Request(strings.Repeat("x", answerSize)))
+			}
+			is.Equal(len(c.Answers), 1+answers)
+			late := flows.NewCaller(c.Key)
+			raw := late.Opening()
+			for range number {
+				raw = late.Opening()
+			}
+			cl.sendOpeningTo(owner, raw)
+			cl.replaceBalancer()
+			cl.sendFromCaller(c.Request("again"))
+			is.True(!c.Reset)
+			is.Equal(len(c.Answers), 2+answers)
+		})
+	}
+}
--- a/internal/flowagent/flowagent.go
+++ b/internal/flowagent/flowagent.go
@@ -58,10 +58,12 @@
 	Claimed
 	// Replied packets were sent to the caller on behalf of the backend server.
 	Replied
+	// Duplicate packets were dropped: they are opening packets of a flow that is open, delayed on their way.
+	Duplicate
 )
 
 // Outcomes lists the printed names of all outcomes, in the order of the constants.
-var Outcomes = [...]string{"malformed", "delivered", "opened", "probed", "passed", "queued", "refused", "ended", "searched", "lost", "claimed", "replied"}
+var Outcomes = [...]string{"malformed", "delivered", "opened", "probed", "passed", "queued", "refused", "ended", "searched", "lost", "claimed", "replied", "duplicate"}
 
 // String returns the outcome as logs show it.
 func (o Outcome) String() string { return Outcomes[o] }
--- a/internal/flowagent/forward.go
+++ b/internal/flowagent/forward.go
@@ -38,8 +38,13 @@
 // handleOpening decides what to do with an opening packet.
 func (a *Agent) handleOpening(now time.Time, f hop.Forward, p *flow.Packet) Decision {
 	key := p.CallerKey()
-	if e := a.flows.Get(key); e != nil && isCopy(now, e, p) && a.routeRefusal(f, p) == "" {
-		return a.deliverOpening(now, f, p, e)
+	if e := a.flows.Get(key); e != nil && e.IsOpenedBy(now, p) {
+		if e.Phase == flowtable.Open {
+			return Decision{Outcome: Duplicate, Key: key, Sends: a.notify(f.Balancer, key, false)}
+		}
+		if a.routeRefusal(f, p) == "" {
+			return a.deliverOpening(now, f, p, e)
+		}
 	}
 	if reason := a.refusalReason(f, p); reason != "" {
 		a.queue.Remove(key)
@@ -58,11 +63,6 @@
 	return a.deliverOpening(now, f, p, a.flows.Begin(now, key, f.Balancer))
 }
 
-// isCopy reports whether an opening packet is a copy of the one that opened a flow.
-func isCopy(now time.Time, e *flowtable.Entry, p *flow.Packet) bool {
-	return e.IsOpenedBy(now, p) && (p.Ack > 0 || e.Phase != flowtable.Open)
-}
-
 func (a *Agent) deliverOpening(now time.Time, f hop.Forward, p *flow.Packet, e *flowtable.Entry) Decision {
 	e.Balancer = f.Balancer
 	a.flows.RecordCallerPacket(now, p.CallerKey(), e, p)
--- a/internal/flowproc/agent.go
+++ b/internal/flowproc/agent.go
@@ -215,7 +215,7 @@
 		})
 	case flowagent.Queued:
 		a.log.flow(now, d.Key, d.Outcome.String(), true, fields{"reason": d.Reason, "active": a.agent.Load().Active, "open": a.agent.Load().Flows})
-	case flowagent.Refused, flowagent.FlowReset, flowagent.Unresolved, flowagent.Probed:
+	case flowagent.Refused, flowagent.FlowReset, flowagent.Unresolved, flowagent.Probed, flowagent.Duplicate:
 		a.log.flow(now, d.Key, d.Outcome.String(), true, fields{"reason": d.Reason, "backend": a.agent.Backend().State, "born": a.agent.Backend().StartMillis})
 	case flowagent.Forwarded:
 		a.log.flow(now, d.Key, d.Outcome.String(), true, fields{"reason": d.Reason, "to": d.Sends[len(d.Sends)-1].To, "version": a.follower.Table().Version()})
--- a/internal/flowtable/flowtable.go
+++ b/internal/flowtable/flowtable.go
@@ -250,7 +250,8 @@
 	return e, !known
 }
 
-// advanceSeq moves nextSeq forward after a packet of the backend server.
+// advanceSeq moves nextSeq forward after a packet of the backend server. Until the flow is open, each answer to an
+// opening packet sets it.
 func (t *Table) advanceSeq(e *Entry, p *flow.Packet) {
 	if p.Flags.Has(flow.RST) {
 		return
@@ -259,7 +260,8 @@
 	if p.Flags.Has(flow.SYN) || p.Flags.Has(flow.FIN) {
 		next++
 	}
-	if !e.hasNextSeq || p.Flags.Has(flow.SYN) || int32(next-e.nextSeq) > 0 {
+	answersOpening := p.Flags.Has(flow.SYN) && e.Phase != Open
+	if !e.hasNextSeq || answersOpening || int32(next-e.nextSeq) > 0 {
 		e.nextSeq = next
 		e.hasNextSeq = true
 	}
--- a/internal/flowtable/flowtable_test.go
+++ b/internal/flowtable/flowtable_test.go
@@ -72,6 +72,22 @@
 	}
 }
 
+// Guards against open flows that lose their packets: the late answer to a copy of the opening packet must not set the
+// flow's numbers back to its start.
+func TestLateAnswerToAnOpeningPacketKeepsTheNumbersOfAnOpenFlow(t *testing.T) {
+	is := is.New(t)
+	table := flowtable.New(10)
+	key := keyWithPort(1)
+	e := table.Begin(start, key, flow.Endpoint{})
+	answer := &flow.Packet{Flags: flow.SYN | flow.ACK, Seq: 100}
+	table.RecordBackendPacket(start, key, answer)
+	table.RecordCallerPacket(start, key, e, &flow.Packet{Flags: flow.ACK, Ack: 101})
+	const sent = 200_000
+	table.RecordBackendPacket(start, key, &flow.Packet{Flags: flow.ACK, Seq: 101, Length: sent})
+	table.RecordBackendPacket(start, key, answer)
+	is.True(e.Matches(&flow.Packet{Flags: flow.ACK, Ack: 101 + sent}))
+}
+
 // Guards against flows whose first request never arrives and counts as in progress for ever: their agents
 // would be considered overloaded for ever.
 func TestExpectedRequestTimesOut(t *testing.T) {
--- a/internal/standin/flows/backend.go
+++ b/internal/standin/flows/backend.go
@@ -80,7 +80,7 @@
 				b.OnOpen(key)
 			}
 		}
-		return [][]byte{b.build(key, flow.SYN|flow.ACK, f.next-1, p.Seq+1, nil)}
+		return [][]byte{b.build(key, flow.SYN|flow.ACK, f.first-1, p.Seq+1, nil)} // copies get the same answer
 	case p.Flags.Has(flow.RST) || p.Flags.Has(flow.FIN):
 		delete(b.flows, key)
 		return [][]byte{b.build(key, flow.FIN|flow.ACK, f.next, p.Seq+1, nil)}
