--- a/internal/flowagent/delivery_test.go
+++ b/internal/flowagent/delivery_test.go
@@ -85,11 +85,13 @@
 			b.State = fleet.BackendDraining
 			cl.setBackend(owner, b)
 			c := before.Next()
+			cl.callers[c.Key] = c
 			c.Opening() // lost
 			received := 0
 			owner.backend.OnOpening = func() { received++ }
 			cl.sendOpeningTo(owner, c.Opening())
 			is.Equal(received, 0)
+			is.True(c.Open) // at the other backend server
 		})
 	}
 }
