Fault matrix: the fabric sends to no balancer that has left

Cause: the harness. When a second balancer left, leaveBalancer gave the fabric all balancers ever started but that one, so the fabric began to send half of the packets to the first one again, which had ended. A real fabric sends to no balancer that is not ready. The faults "balancer killed" and "balancer joins" also set fixed lists. Change: balancers are added to the fabric's list and removed from it one by one. No check is changed; what the cell asks is the same, and now its fabric is the one that the test describes.

--- a/internal/faultmatrix/faults_test.go
+++ b/internal/faultmatrix/faults_test.go
@@ -39,7 +39,7 @@
 	{name: "none", inject: func(*fleet, int) {}},
 	{name: "balancer killed", inject: func(f *fleet, _ int) {
 		f.balancerProcesses[0].crash()
-		f.after(healthCheckDelay, func() { f.setSprayed(1, 2) })
+		f.after(healthCheckDelay, func() { f.stopSprayingTo(0) })
 	}},
 	{name: "balancer frozen and woken", inject: func(f *fleet, _ int) { f.freeze(f.balancerProcesses[1]) }},
 	{name: "balancer joins", inject: func(f *fleet, _ int) { f.joinBalancer() }},
@@ -181,20 +181,12 @@
 
 func (f *fleet) joinBalancer() {
 	f.startBalancer(balancerCount)
-	f.after(healthCheckDelay, func() { f.setSprayed(0, 1, 2, balancerCount) })
+	f.after(healthCheckDelay, func() { f.sprayTo(balancerCount) })
 }
 
 // leaveBalancer stops a balancer gracefully: the fabric stops sending to it after it has
 // reported that it is not ready.
 func (f *fleet) leaveBalancer(i int) {
 	f.balancerProcesses[i].drain()
-	f.after(healthCheckDelay/2, func() {
-		var rest []int
-		for k := range f.startedBalancers() {
-			if k != i {
-				rest = append(rest, k)
-			}
-		}
-		f.setSprayed(rest...)
-	})
+	f.after(healthCheckDelay/2, func() { f.stopSprayingTo(i) })
 }
--- a/internal/faultmatrix/fleet_test.go
+++ b/internal/faultmatrix/fleet_test.go
@@ -243,9 +243,7 @@
 	if f.swapServices.Load() {
 		serviceAddr = map[netip.AddrPort]netip.AddrPort{bookingAddr: bulletinAddr, bulletinAddr: bookingAddr}[serviceAddr]
 	}
-	f.mu.Lock()
-	targets := f.sprayed
-	f.mu.Unlock()
+	targets := f.sprayTargets()
 	if len(targets) == 0 {
 		return
 	}
@@ -256,11 +254,27 @@
 	}
 }
 
-// setSprayed sets the balancers that the fabric sends to.
-func (f *fleet) setSprayed(balancers ...int) {
+// sprayTargets returns the balancers that the fabric sends to. The list must not be changed.
+func (f *fleet) sprayTargets() []int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sprayed
+}
+
+// sprayTo makes the fabric send to a balancer, too.
+func (f *fleet) sprayTo(i int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !slices.Contains(f.sprayed, i) {
+		f.sprayed = append(slices.Clone(f.sprayed), i)
+	}
+}
+
+// stopSprayingTo makes the fabric send to the other balancers only.
+func (f *fleet) stopSprayingTo(i int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.sprayed = balancers
+	f.sprayed = slices.DeleteFunc(slices.Clone(f.sprayed), func(k int) bool { return k == i })
 }
 
 func discardLog() log.Interface {
--- a/internal/faultmatrix/leave_test.go
+++ b/internal/faultmatrix/leave_test.go
@@ -30,3 +30,23 @@
 		c.verifyFlows(0)
 	})
 }
+
+// Guards against a harness that sends callers' packets to balancers that have ended: when a second balancer left, the
+// fabric began to send to the first one again, and flows could not open.
+func TestFabricSendsToNoBalancerThatHasLeft(t *testing.T) {
+	runFleet(t, 9, func(f *fleet) {
+		c := &cell{fleet: f, target: 0}
+		f.leaveBalancer(0)
+		time.Sleep(100 * time.Millisecond)
+		f.leaveBalancer(2)
+		time.Sleep(leaveBound)
+		for _, i := range f.sprayTargets() {
+			if c.hasEnded(f.balancerProcesses[i]) {
+				t.Errorf("the fabric sends to balancer %d, which has ended", i)
+			}
+		}
+		if len(f.sprayTargets()) == 0 {
+			t.Error("the fabric sends to no balancer")
+		}
+	})
+}
--- a/internal/faultmatrix/steps_test.go
+++ b/internal/faultmatrix/steps_test.go
@@ -159,7 +159,7 @@
 	{"join", func(c *cell) int {
 		flow, target := c.openOnTarget()
 		c.startBalancer(len(c.balancerProcesses))
-		c.setSprayed(0, 1, 2, 3)
+		c.sprayTo(balancerCount)
 		c.inject(target)
 		c.sheet(flow, "during")
 		return target
