Agents keep handshakes long enough for callers that repeat them after a loss

Cause: an agent gave up a handshake after 5 s without packets. A caller that has the agent's part takes the flow for open and repeats its own part at intervals that double, so after a loss of some seconds the next repetition comes later. Evidence: lines for each flow in a trial; in all 4 failures the agent admitted the flow during the cut, never completed its handshake, and ended it 5.0 to 5.4 s later, after the cut; the caller's packets then met an agent that knew no flow. Change: 15 s. Flows whose callers vanish in the handshake count for as long.

--- a/internal/agent/endpoint.go
+++ b/internal/agent/endpoint.go
@@ -22,8 +22,10 @@
 const (
 	// initialPacketSize leaves room for the envelope on a path with an MTU of 1,500 bytes.
 	initialPacketSize = 1200
-	// handshakeTimeout is the maximum duration of a flow's handshake.
-	handshakeTimeout = 5 * time.Second
+	// handshakeTimeout is how long a flow is kept without packets of its caller before its handshake is complete.
+	// A caller that has received the agent's part takes the flow for open. After a loss of some seconds it repeats
+	// its own part at intervals of up to twice that time (probe timeouts, RFC 9002, section 6.2).
+	handshakeTimeout = 15 * time.Second
 	// idleTimeout is how long a flow without packets is kept.
 	idleTimeout = 5 * time.Minute
 	// maxStreams is the maximum number of concurrent requests of a flow.
