--- a/review/scenario/cases.go
+++ b/review/scenario/cases.go
@@ -93,7 +93,7 @@
 		return "", err
 	}
 	go func() {
-		defer listener.Close()
+		defer func() { _ = listener.Close() }()
 		in, err := listener.Accept()
 		if err != nil {
 			return
@@ -114,7 +114,7 @@
 		}
 		defer out.Close()
 		w.rec.printf("proxy: passes on %s %s %s after %v", request.Method, request.URL.Path, text, delay)
-		fmt.Fprintf(out, "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
+		_, _ = fmt.Fprintf(out, "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
 			request.Method, request.URL.Path, to, len(text), text)
 		answer, _ := bufio.NewReader(out).ReadString('\n')
 		w.rec.printf("proxy: answer %q", answer)
--- a/review/scenario/main.go
+++ b/review/scenario/main.go
@@ -46,7 +46,7 @@
 
 // print writes one line. The lock is held.
 func (r *recorder) print(format string, args ...any) {
-	fmt.Fprintf(r.out, "%8.3f %s\n", time.Since(r.begun).Seconds(), fmt.Sprintf(format, args...))
+	_, _ = fmt.Fprintf(r.out, "%8.3f %s\n", time.Since(r.begun).Seconds(), fmt.Sprintf(format, args...))
 }
 
 // close writes the buffered lines.
@@ -147,7 +147,7 @@
 		return notRun(rec, err)
 	}
 	if os.Getenv("KEEP") == "" {
-		defer os.RemoveAll(dir)
+		defer func() { _ = os.RemoveAll(dir) }()
 	} else {
 		fmt.Println("logs:", dir)
 	}
--- a/review/scenario/roll.go
+++ b/review/scenario/roll.go
@@ -80,8 +80,7 @@
 	}
 	var sides []*node
 	for i := range rollSides {
-		n, _ := w.addSide(zones[i%len(zones)], "counter", seeds, true)
-		sides = append(sides, n)
+		sides = append(sides, w.addSide(zones[i%len(zones)], "counter", seeds, true))
 	}
 	if err := w.setConfig(7, "download", 5*time.Second, "counter"); err != nil {
 		return err
--- a/review/scenario/store.go
+++ b/review/scenario/store.go
@@ -70,18 +70,6 @@
 	s.items[i.Key] = i
 }
 
-// setDown begins or ends an outage. With lapse, all leases run out meanwhile.
-func (s *store) setDown(down, lapse bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.down = down
-	if lapse {
-		for id := range s.leases {
-			s.endLease(id)
-		}
-	}
-}
-
 func (s *store) endLease(id int64) {
 	delete(s.leases, id)
 	for key, i := range s.items {
@@ -100,20 +88,6 @@
 	}
 }
 
-// keys returns the keys under a prefix.
-func (s *store) keys(prefix string) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.expireLeases()
-	var found []string
-	for key := range s.items {
-		if strings.HasPrefix(key, prefix) {
-			found = append(found, key)
-		}
-	}
-	return found
-}
-
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(storeDelay)
 	s.mu.Lock()
--- a/review/scenario/world.go
+++ b/review/scenario/world.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -242,7 +241,7 @@
 }
 
 // addFront adds a balancer without starting it.
-func (w *world) addFront(zone string, seeds []netip.Addr, first bool) *node {
+func (w *world) addFront(zone string, seeds []netip.Addr, first bool) {
 	i := 0
 	for _, n := range w.nodes {
 		if n.role == "balancer" {
@@ -251,16 +250,15 @@
 	}
 	n := &node{w: w, name: fmt.Sprintf("front-%d", i+1), role: "balancer", zone: zone, ip: w.address(kindFront, i), seeds: seeds, first: first}
 	w.nodes = append(w.nodes, n)
-	return n
 }
 
 // addSide adds an agent and its host without starting them.
-func (w *world) addSide(zone, service string, seeds []netip.Addr, first bool) (*node, *host) {
+func (w *world) addSide(zone, service string, seeds []netip.Addr, first bool) *node {
 	i := len(w.hosts)
 	n := &node{w: w, name: fmt.Sprintf("side-%d", i+1), role: "agent", zone: zone, ip: w.address(kindSide, i), service: service, seeds: seeds, first: first}
 	h := &host{w: w, ip: n.ip, id: fmt.Sprintf("i-%08x", rand.Uint32()), service: service, zone: zone}
 	w.nodes, w.hosts = append(w.nodes, n), append(w.hosts, h)
-	return n, h
+	return n
 }
 
 // close ends everything that was started.
@@ -370,12 +368,3 @@
 	_, _ = hash.Write([]byte(key.String()))
 	return set[hash.Sum32()%uint32(len(set))], true
 }
-
-// checkFree reports whether the ports of a machine are free.
-func checkFree(addr netip.AddrPort) error {
-	l, err := net.Listen("tcp4", addr.String())
-	if err != nil {
-		return err
-	}
-	return l.Close()
-}
