Reports must describe the backend server beside the agent

Cause: the decoder read six of the nine fields of a report and required five of them. Nothing read which backend server a report describes, so the foreign report counted as one of the backend server beside the agent, and its later start time as a restart. The next reports of the backend server counted as late ones for three seconds. ReportTracker knows the identity of the backend server (service, address, data centre) and refuses reports that state another one. Refused reports are logged at a bounded rate and counted in almondledge_bad_reports_total; a report that could not be decoded left no trace before. Why it works: a report without the fields of the backend server is refused before it reaches the tracker's state.

--- a/internal/flowagent/report.go
+++ b/internal/flowagent/report.go
@@ -2,18 +2,32 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"time"
 
 	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/fleet"
 )
 
+// Identity is what each report states about the backend server that it describes, the same for all incarnations.
+type Identity struct {
+	Service string
+	// Addr is the address at which the backend server receives packets and health checks.
+	Addr       netip.AddrPort
+	DataCentre string
+}
+
+// String returns the identity as errors show it.
+func (i Identity) String() string {
+	return fmt.Sprintf("service %q at %v in data centre %q", i.Service, i.Addr, i.DataCentre)
+}
+
 // Report is a periodic message in which a backend server states its condition.
 type Report struct {
+	Identity
 	// ID identifies the backend server; it may stay the same after a restart.
-	ID      string
-	Service string
-	State   fleet.BackendState
+	ID    string
+	State fleet.BackendState
 	// StartMillis is the start time of the backend server in Unix milliseconds.
 	StartMillis int64
 	Slots       uint16
@@ -43,7 +57,7 @@
 // ReportTracker derives the state of one backend server from its reports, some of which are late or
 // come from another backend server. It is not safe for concurrent use.
 type ReportTracker struct {
-	service      string
+	identity     Identity
 	id           string
 	backend      fleet.Backend
 	sequence     int64
@@ -56,17 +70,18 @@
 	lastReport time.Time
 }
 
-// NewReportTracker returns the tracker for a backend server of service.
-func NewReportTracker(service string) *ReportTracker {
-	return &ReportTracker{service: service, backend: fleet.Backend{Service: service}}
+// NewReportTracker returns the tracker for the backend server with the given identity.
+func NewReportTracker(identity Identity) *ReportTracker {
+	return &ReportTracker{identity: identity, backend: fleet.Backend{Service: identity.Service}}
 }
 
 // Apply applies a report and returns the resulting state of the backend server. An error of kind Invalid
-// means that the report is of another service, an error of kind Stale that a newer report was applied before.
+// means that the report describes another backend server, an error of kind Stale that a newer report was applied
+// before.
 func (r *ReportTracker) Apply(now time.Time, report Report) (fleet.Backend, error) {
-	if report.Service != r.service {
+	if report.Identity != r.identity {
 		return r.backend, errkind.New(errkind.Invalid,
-			fmt.Sprintf("report of service %q at an agent of %q", report.Service, r.service), "send reports to the agent on the same instance only")
+			fmt.Sprintf("report of %v at the agent of %v", report.Identity, r.identity), "send reports to the agent on the same instance only")
 	}
 	late := report.StartMillis < r.backend.StartMillis && now.Sub(r.lastReport) < lateReportWindow
 	if late || (report.StartMillis == r.backend.StartMillis && report.Sequence <= r.sequence) {
--- a/internal/flowagent/report_test.go
+++ b/internal/flowagent/report_test.go
@@ -1,6 +1,7 @@
 package flowagent_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -11,9 +12,12 @@
 	"github.com/almondledge/almondledge/internal/flowagent"
 )
 
+// alphaBackend is the identity of the backend server in these tests.
+var alphaBackend = flowagent.Identity{Service: "alpha", Addr: netip.MustParseAddrPort("10.0.0.1:80"), DataCentre: "cesme"}
+
 func TestReports(t *testing.T) {
 	at := time.Unix(2_000_000_000, 0)
-	first := flowagent.Report{ID: "a", Service: "alpha", State: fleet.BackendReady, StartMillis: 1000, Slots: 5, Sequence: 3}
+	first := flowagent.Report{Identity: alphaBackend, ID: "a", State: fleet.BackendReady, StartMillis: 1000, Slots: 5, Sequence: 3}
 	change := func(f func(*flowagent.Report)) flowagent.Report {
 		r := first
 		f(&r)
@@ -31,11 +35,15 @@
 		{"one of a later start, counting anew", change(func(r *flowagent.Report) { r.StartMillis, r.Sequence = 1100, 1 }), ""},
 		{"one of a start before, after a clock was set back", change(func(r *flowagent.Report) { r.StartMillis, r.Sequence = 900, 1 }), errkind.Stale},
 		{"one of another service", change(func(r *flowagent.Report) { r.Service, r.Sequence = "beta", 9 }), errkind.Invalid},
+		{"one of another address", change(func(r *flowagent.Report) { r.Addr, r.Sequence = netip.MustParseAddrPort("10.0.0.2:80"), 9 }), errkind.Invalid},
+		{"one of another port", change(func(r *flowagent.Report) { r.Addr, r.Sequence = netip.MustParseAddrPort("10.0.0.1:81"), 9 }), errkind.Invalid},
+		{"one without an address, of a later start", change(func(r *flowagent.Report) { r.Addr, r.StartMillis = netip.AddrPort{}, 1100 }), errkind.Invalid},
+		{"one of another data centre", change(func(r *flowagent.Report) { r.DataCentre, r.Sequence = "bodrum", 9 }), errkind.Invalid},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			reports := flowagent.NewReportTracker("alpha")
+			reports := flowagent.NewReportTracker(alphaBackend)
 			_, err := reports.Apply(at, first)
 			is.NoErr(err)
 			_, err = reports.Apply(at, test.report)
@@ -47,8 +55,8 @@
 func TestReportsAfterAClockWasSetBack(t *testing.T) {
 	is := is.New(t)
 	at := time.Unix(2_000_000_000, 0)
-	reports := flowagent.NewReportTracker("alpha")
-	report := flowagent.Report{ID: "a", Service: "alpha", State: fleet.BackendReady, StartMillis: 1000, Sequence: 30}
+	reports := flowagent.NewReportTracker(alphaBackend)
+	report := flowagent.Report{Identity: alphaBackend, ID: "a", State: fleet.BackendReady, StartMillis: 1000, Sequence: 30}
 	_, err := reports.Apply(at, report)
 	is.NoErr(err)
 	is.True(!reports.SawFirstReport())
@@ -80,9 +88,9 @@
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			at := time.Unix(2_000_000_000, 0)
-			reports := flowagent.NewReportTracker("alpha")
+			reports := flowagent.NewReportTracker(alphaBackend)
 			_, err := reports.Apply(at, flowagent.Report{
-				ID: "a", Service: "alpha", State: fleet.BackendReady, StartMillis: at.Add(-test.age).UnixMilli(), Sequence: test.sequence,
+				Identity: alphaBackend, ID: "a", State: fleet.BackendReady, StartMillis: at.Add(-test.age).UnixMilli(), Sequence: test.sequence,
 			})
 			is.NoErr(err)
 			is.Equal(reports.SawFirstReport(), test.want)
@@ -93,8 +101,8 @@
 func TestLeavingBackendIsGoneAfterTheLeaveDelay(t *testing.T) {
 	is := is.New(t)
 	at := time.Unix(2_000_000_000, 0)
-	reports := flowagent.NewReportTracker("alpha")
-	_, err := reports.Apply(at, flowagent.Report{ID: "a", Service: "alpha", State: fleet.BackendDraining, StartMillis: 1, Sequence: 1})
+	reports := flowagent.NewReportTracker(alphaBackend)
+	_, err := reports.Apply(at, flowagent.Report{Identity: alphaBackend, ID: "a", State: fleet.BackendDraining, StartMillis: 1, Sequence: 1})
 	is.NoErr(err)
 	is.Equal(reports.Leave(at, "b").State, fleet.BackendDraining) // the leave message of another backend server
 	_, changed := reports.Tick(at.Add(time.Hour))
--- a/internal/flowproc/agent.go
+++ b/internal/flowproc/agent.go
@@ -5,8 +5,10 @@
 	"net/netip"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/fleet"
 	"github.com/almondledge/almondledge/internal/flowagent"
 	"github.com/almondledge/almondledge/internal/hop"
@@ -26,10 +28,12 @@
 // Agent is a running agent, which serves one backend server.
 type Agent struct {
 	*core
-	cfg              AgentConfig
-	fromBackend      udpbatch.Conn
-	agent            *flowagent.Agent
-	reports          *flowagent.ReportTracker
+	cfg         AgentConfig
+	fromBackend udpbatch.Conn
+	agent       *flowagent.Agent
+	reports     *flowagent.ReportTracker
+	// badReports counts the reports and leave messages that describe no backend server, or another one.
+	badReports       *metrics.Counter
 	refreshClaims    bool
 	nextClaimRefresh time.Time
 }
@@ -39,7 +43,8 @@
 	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
-	a := &Agent{cfg: cfg, reports: flowagent.NewReportTracker(cfg.Service)}
+	identity := flowagent.Identity{Service: cfg.Service, Addr: cfg.Backend, DataCentre: cfg.DataCentre}
+	a := &Agent{cfg: cfg, reports: flowagent.NewReportTracker(identity)}
 	self := fleet.Member{Role: fleet.Agent, Backend: fleet.Backend{Service: cfg.Service}}
 	var err error
 	if a.core, err = newCore(cfg.Common, opt, self); err != nil {
@@ -47,6 +52,7 @@
 	}
 	a.role = a
 	a.metrics.setOutcomes(flowagent.Outcomes[:])
+	a.badReports = a.metrics.telemetry.Set().NewCounter("almondledge_bad_reports_total")
 	a.agent = flowagent.New(time.Now(), flowagent.Config{
 		Self: cfg.Peer, Service: cfg.Service, FlowLifetime: cfg.FlowLifetime, Codec: opt.Codec, Directory: a.directory,
 	})
@@ -101,21 +107,36 @@
 	return err
 }
 
-// Report applies a report of the backend server. It returns an error of kind Invalid if the report is of
-// another service, and an error of kind Stale if the report is outdated.
+// Report applies a report of the backend server. It returns an error of kind Invalid if the report describes
+// another backend server, and an error of kind Stale if the report is outdated.
 func (a *Agent) Report(r flowagent.Report) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
 	b, err := a.reports.Apply(now, r)
 	if err != nil {
-		a.log.failure("backend server report ignored", err, fields{"backend_id": r.ID, "sequence": r.Sequence, "born": r.StartMillis})
+		a.ignoreReport(now, err, fields{"backend_id": r.ID, "sequence": r.Sequence, "born": r.StartMillis})
 		return err
 	}
 	a.setBackend(now, b, r.ID)
 	return nil
 }
 
+// RefuseReport counts and logs a message that states the ID of a backend server, but could not be translated for
+// the given reason.
+func (a *Agent) RefuseReport(id string, reason error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ignoreReport(time.Now(), reason, fields{"backend_id": id})
+}
+
+func (a *Agent) ignoreReport(now time.Time, reason error, pairs fields) {
+	if errkind.Is(reason, errkind.Invalid) {
+		a.badReports.Inc()
+	}
+	a.log.boundedFailure(now, "backend server report ignored", reason, pairs)
+}
+
 // Leave records that the backend server is ending.
 func (a *Agent) Leave(id string) {
 	a.mu.Lock()
--- a/internal/flowproc/deployment_test.go
+++ b/internal/flowproc/deployment_test.go
@@ -258,12 +258,18 @@
 	})
 }
 
+// identity returns the identity that a backend server reports.
+func (d *deployment) identity(i int) flowagent.Identity {
+	backend := netip.AddrPortFrom(agentAddr(i), backendPort)
+	return flowagent.Identity{Service: service, Addr: backend, DataCentre: d.common(agentAddr(i)).DataCentre}
+}
+
 // report sends a report of a backend server to its agent.
 func (d *deployment) report(i int, state fleet.BackendState) {
 	a := d.agents[i]
 	a.sequence++
 	err := a.agent.Report(flowagent.Report{
-		ID: a.backend.Name, Service: service, State: state, StartMillis: a.startMillis, Slots: 5, Sequence: a.sequence,
+		Identity: d.identity(i), ID: a.backend.Name, State: state, StartMillis: a.startMillis, Slots: 5, Sequence: a.sequence,
 	})
 	if err != nil {
 		d.t.Error(err)
--- a/internal/flowproc/flowproc_test.go
+++ b/internal/flowproc/flowproc_test.go
@@ -9,7 +9,9 @@
 
 	"github.com/matryer/is"
 
+	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/fleet"
+	"github.com/almondledge/almondledge/internal/flowagent"
 	"github.com/almondledge/almondledge/internal/flowproc"
 	"github.com/almondledge/almondledge/internal/memnet"
 	"github.com/almondledge/almondledge/internal/route"
@@ -293,3 +295,26 @@
 		is.Equal(len(d.read(d.call(1, 1000)).Answers), 1)
 	})
 }
+
+// Guards against review case 6: a report that names no address, or another one, was taken for a restart of the backend
+// server, whose open flows were then reset.
+func TestReportOfAnotherProgramLeavesFlowsOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := deploy(t, 2, 1)
+		c := d.call(0, 1000)
+		foreign := flowagent.Report{
+			Identity: d.identity(0), ID: "other", State: fleet.BackendDraining, StartMillis: time.Now().UnixMilli(), Slots: 5, Sequence: 1,
+		}
+		foreign.Addr = netip.AddrPort{}
+		is.True(errkind.Is(d.agents[0].agent.Report(foreign), errkind.Invalid))
+		foreign.Addr = netip.MustParseAddrPort("10.9.9.9:80")
+		is.True(errkind.Is(d.agents[0].agent.Report(foreign), errkind.Invalid))
+		d.request(0, c)
+		got := d.read(c)
+		is.Equal(len(got.Answers), 2)
+		is.True(!got.Reset)
+		is.Equal(len(d.read(d.call(0, 1001)).Answers), 1) // the backend server still gets new flows
+		is.Equal(value(d.scrape(agentAddr(0)), "almondledge_bad_reports_total"), "2")
+	})
+}
--- a/internal/flowproc/log.go
+++ b/internal/flowproc/log.go
@@ -32,7 +32,7 @@
 	ring     *logring.Writer
 	samples  *rate.Limiter
 	failures *rate.Limiter
-	// omitted counts the decisions not logged since the last line about a flow.
+	// omitted counts the decisions and failures not logged since the last line about a flow.
 	omitted int
 }
 
@@ -55,6 +55,15 @@
 	logging.WithError(l.logger.WithFields(pairs), err).Warn(message)
 }
 
+// boundedFailure logs a failure that other programs can cause as often as they like.
+func (l *eventLog) boundedFailure(now time.Time, message string, err error, pairs fields) {
+	if !l.failures.AllowN(now, 1) {
+		l.omitted++
+		return
+	}
+	l.failure(message, err, pairs)
+}
+
 func (l *eventLog) member(m fleet.Member) {
 	pairs := fields{
 		logging.FieldPeer: m.Addr,
