Reports with numbers that no backend server can have are refused

Here it could happen with one report: a sequence number of 1<<31 or more with the start time of the backend server made all its later reports count as late, so that its agent followed neither its draining nor its load for as long as it ran; a start time in the far future reset its flows and did the same for three seconds; no slots. Cause: ReportTracker compared these numbers with those of the last report only, never with what is possible. Reports in earlier tests that had no slots now have some, as all real ones do.

--- a/internal/flowagent/report.go
+++ b/internal/flowagent/report.go
@@ -50,6 +50,17 @@
 	firstReportMaxAge = 400 * time.Millisecond
 )
 
+// Ranges of the numbers in a report. A report outside of them comes from another program.
+const (
+	// maxClockStep is how far the start time of a backend server may lie in the future, because the clock of the
+	// instance was set back after the start.
+	maxClockStep = 24 * time.Hour
+	// minReportInterval is the least mean interval of the reports of one incarnation, and sequenceMargin is by how
+	// much sequence numbers may be ahead of it.
+	minReportInterval = time.Millisecond
+	sequenceMargin    = 1000
+)
+
 // leaveDelay is the time from a backend server's leave message until it counts as gone. It may
 // still be ending when the message arrives, and its flows must not be reset before it has ended.
 const leaveDelay = 400 * time.Millisecond
@@ -76,13 +87,16 @@
 }
 
 // Apply applies a report and returns the resulting state of the backend server. An error of kind Invalid
-// means that the report describes another backend server, an error of kind Stale that a newer report was applied
-// before.
+// means that the report describes another backend server or has a number out of range, an error of kind Stale that a
+// newer report was applied before.
 func (r *ReportTracker) Apply(now time.Time, report Report) (fleet.Backend, error) {
 	if report.Identity != r.identity {
 		return r.backend, errkind.New(errkind.Invalid,
 			fmt.Sprintf("report of %v at the agent of %v", report.Identity, r.identity), "send reports to the agent on the same instance only")
 	}
+	if err := r.checkNumbers(now, report); err != nil {
+		return r.backend, err
+	}
 	late := report.StartMillis < r.backend.StartMillis && now.Sub(r.lastReport) < lateReportWindow
 	if late || (report.StartMillis == r.backend.StartMillis && report.Sequence <= r.sequence) {
 		return r.backend, errkind.New(errkind.Stale,
@@ -104,6 +118,34 @@
 	return r.backend, nil
 }
 
+// checkNumbers returns an error of kind Invalid if a number of a report is out of range.
+func (r *ReportTracker) checkNumbers(now time.Time, report Report) error {
+	switch {
+	case report.Slots == 0:
+		return outOfRange("slots", int64(report.Slots))
+	case report.StartMillis <= 0 || report.StartMillis > now.Add(maxClockStep).UnixMilli():
+		return outOfRange("start time in Unix milliseconds", report.StartMillis)
+	case report.Sequence < 0 || report.Sequence > r.maxSequence(now, report.StartMillis):
+		return outOfRange("sequence number", report.Sequence)
+	}
+	return nil
+}
+
+// maxSequence returns the highest sequence number that a report of the incarnation with the given start time can
+// have. If a number above it were applied, all later reports of the incarnation would count as late.
+func (r *ReportTracker) maxSequence(now time.Time, startMillis int64) int64 {
+	if startMillis == r.backend.StartMillis {
+		return r.sequence + int64(now.Sub(r.lastReport)/minReportInterval) + sequenceMargin
+	}
+	age := max(0, now.Sub(time.UnixMilli(startMillis)))
+	return int64((age+maxClockStep)/minReportInterval) + sequenceMargin
+}
+
+func outOfRange(name string, value int64) error {
+	return errkind.New(errkind.Invalid, fmt.Sprintf("report of a backend server ignored: its %s is %d", name, value),
+		"check which program sends it")
+}
+
 // isRecentStart reports whether a start time in Unix milliseconds lies within firstReportMaxAge. A start time
 // in the future comes from a differing clock and proves nothing.
 func isRecentStart(now time.Time, startMillis int64) bool {
--- a/internal/flowagent/report_test.go
+++ b/internal/flowagent/report_test.go
@@ -1,6 +1,7 @@
 package flowagent_test
 
 import (
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -52,11 +53,66 @@
 	}
 }
 
+// Guards against reports of other programs with numbers that no backend server can have: one with a large sequence
+// number would make all later reports of the backend server look late, for as long as the backend server runs.
+func TestReportsWithNumbersOutOfRange(t *testing.T) {
+	at := time.Unix(2_000_000_000, 0)
+	start := at.Add(-time.Minute).UnixMilli()
+	first := flowagent.Report{Identity: alphaBackend, ID: "a", State: fleet.BackendReady, StartMillis: start, Slots: 5, Sequence: 50}
+	tests := []struct {
+		name   string
+		change func(*flowagent.Report)
+	}{
+		{"a sequence number far ahead", func(r *flowagent.Report) { r.Sequence = 1 << 31 }},
+		{"the largest sequence number", func(r *flowagent.Report) { r.Sequence = math.MaxInt64 }},
+		{"a sequence number far ahead, of a later start", func(r *flowagent.Report) { r.Sequence, r.StartMillis = 1<<31, start+1 }},
+		{"a negative sequence number, of a later start", func(r *flowagent.Report) { r.Sequence, r.StartMillis = -1, start+1 }},
+		{"a start far in the future", func(r *flowagent.Report) { r.Sequence, r.StartMillis = 51, at.Add(48*time.Hour).UnixMilli() }},
+		{"the largest start", func(r *flowagent.Report) { r.Sequence, r.StartMillis = 51, math.MaxInt64 }},
+		{"no start", func(r *flowagent.Report) { r.Sequence, r.StartMillis = 51, 0 }},
+		{"no slots", func(r *flowagent.Report) { r.Sequence, r.Slots = 51, 0 }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			reports := flowagent.NewReportTracker(alphaBackend)
+			before, err := reports.Apply(at, first)
+			is.NoErr(err)
+			foreign := first
+			test.change(&foreign)
+			after, err := reports.Apply(at.Add(time.Second), foreign)
+			is.True(errkind.Is(err, errkind.Invalid))
+			is.Equal(after, before)
+			next := first
+			next.Sequence, next.State = 51, fleet.BackendDraining
+			b, err := reports.Apply(at.Add(time.Second), next)
+			is.NoErr(err) // the backend server's own reports still count
+			is.Equal(b.State, fleet.BackendDraining)
+		})
+	}
+}
+
+// Sequence numbers that an agent has missed while it was frozen, cut off or not yet running are in range.
+func TestReportsAfterMissedOnes(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(2_000_000_000, 0)
+	reports := flowagent.NewReportTracker(alphaBackend)
+	report := flowagent.Report{Identity: alphaBackend, ID: "a", State: fleet.BackendReady, StartMillis: at.Add(-24 * time.Hour).UnixMilli(), Slots: 5, Sequence: 400_000}
+	_, err := reports.Apply(at, report)
+	is.NoErr(err)
+	report.Sequence += 900
+	_, err = reports.Apply(at.Add(time.Second), report)
+	is.NoErr(err)
+	report.StartMillis, report.Sequence = at.Add(time.Hour).UnixMilli(), 1
+	_, err = reports.Apply(at.Add(2*time.Second), report)
+	is.NoErr(err) // the clock was set back after the start of the backend server
+}
+
 func TestReportsAfterAClockWasSetBack(t *testing.T) {
 	is := is.New(t)
 	at := time.Unix(2_000_000_000, 0)
 	reports := flowagent.NewReportTracker(alphaBackend)
-	report := flowagent.Report{Identity: alphaBackend, ID: "a", State: fleet.BackendReady, StartMillis: 1000, Sequence: 30}
+	report := flowagent.Report{Identity: alphaBackend, ID: "a", State: fleet.BackendReady, StartMillis: 1000, Slots: 5, Sequence: 30}
 	_, err := reports.Apply(at, report)
 	is.NoErr(err)
 	is.True(!reports.SawFirstReport())
@@ -90,7 +146,7 @@
 			at := time.Unix(2_000_000_000, 0)
 			reports := flowagent.NewReportTracker(alphaBackend)
 			_, err := reports.Apply(at, flowagent.Report{
-				Identity: alphaBackend, ID: "a", State: fleet.BackendReady, StartMillis: at.Add(-test.age).UnixMilli(), Sequence: test.sequence,
+				Identity: alphaBackend, ID: "a", State: fleet.BackendReady, StartMillis: at.Add(-test.age).UnixMilli(), Slots: 5, Sequence: test.sequence,
 			})
 			is.NoErr(err)
 			is.Equal(reports.SawFirstReport(), test.want)
@@ -102,7 +158,7 @@
 	is := is.New(t)
 	at := time.Unix(2_000_000_000, 0)
 	reports := flowagent.NewReportTracker(alphaBackend)
-	_, err := reports.Apply(at, flowagent.Report{Identity: alphaBackend, ID: "a", State: fleet.BackendDraining, StartMillis: 1, Sequence: 1})
+	_, err := reports.Apply(at, flowagent.Report{Identity: alphaBackend, ID: "a", State: fleet.BackendDraining, StartMillis: 1, Slots: 5, Sequence: 1})
 	is.NoErr(err)
 	is.Equal(reports.Leave(at, "b").State, fleet.BackendDraining) // the leave message of another backend server
 	_, changed := reports.Tick(at.Add(time.Hour))
