Datagrams that state long lists are refused before they are decoded

Cause: the msgpack decoder allocates lists of structs by the length that the message states; its limit of a million elements is not in force by default (it compares a flag with 1), and would still be 112 MB for members. Change: package msgshape walks over a message without allocating by its lengths, and refuses one that is not complete, has more elements than its limits, or is nested too deep. Package fleet checks each datagram before it decodes it.

--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -6,6 +6,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/msgshape"
 )
 
 // messageType is the type of a protocol message.
@@ -68,7 +69,13 @@
 	return payload, nil
 }
 
+// messageLimits bound the shape of a datagram. They leave room for fields that later releases add.
+var messageLimits = msgshape.Limits{Depth: 8, Length: 64, Elements: 2048}
+
 func decode(payload []byte) (*message, error) {
+	if err := msgshape.Check(payload, messageLimits); err != nil {
+		return nil, err
+	}
 	m := &message{}
 	if err := msgpack.Unmarshal(payload, m); err != nil {
 		return nil, errkind.Wrap(err, errkind.Invalid, "membership message cannot be read", "check that all processes run the same release")
