Deeply nested messages are refused before they are decoded

A nested response to a fetch of members or of a state took 1 GB; the memory limit of an agent is 152 MB. Cause: the decoder skips the value of an unknown key recursively. Requests had no limit of size, responses one of 16 MB. Change: a request may have 128 bytes. A response is read whole (16 MB at most) and its shape checked before it is decoded. The limit of an exchange is 700 ms.

--- a/internal/statesync/exchange.go
+++ b/internal/statesync/exchange.go
@@ -12,15 +12,23 @@
 
 	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/fleet"
+	"github.com/almondledge/almondledge/internal/msgshape"
 	"github.com/almondledge/almondledge/internal/route"
 )
 
 // exchangeTimeout bounds one exchange between processes, from dialing to the last byte.
 const exchangeTimeout = 700 * time.Millisecond
 
-// maxResponseBytes bounds a decompressed response: twice the members of the largest deployment, at
-// about a hundred bytes each.
-const maxResponseBytes = 16 << 20
+const (
+	// maxRequestBytes bounds a request.
+	maxRequestBytes = 128
+	// maxResponseBytes bounds a decompressed response: twice the members of the largest deployment, at
+	// about a hundred bytes each.
+	maxResponseBytes = 16 << 20
+)
+
+// responseLimits bound the shape of a response: twice the members of the largest deployment, with the fields of each.
+var responseLimits = msgshape.Limits{Depth: 8, Length: 100_000, Elements: 2_000_000}
 
 // request asks for a state newer than version Have, or for the member table.
 type request struct {
@@ -72,14 +80,26 @@
 	if err := msgpack.NewEncoder(conn).Encode(req); err != nil {
 		return response{}, unavailable(err, addr)
 	}
-	var resp response
-	unpacked := io.LimitReader(flate.NewReader(conn), maxResponseBytes)
-	if err := msgpack.NewDecoder(unpacked).Decode(&resp); err != nil {
+	resp, err := readResponse(conn)
+	if err != nil {
 		return response{}, unavailable(err, addr)
 	}
 	return resp, nil
 }
 
+// readResponse reads a whole compressed response and checks its shape before it decodes it.
+func readResponse(compressed io.Reader) (response, error) {
+	var resp response
+	message, err := io.ReadAll(io.LimitReader(flate.NewReader(compressed), maxResponseBytes))
+	if err != nil {
+		return resp, err
+	}
+	if err := msgshape.Check(message, responseLimits); err != nil {
+		return resp, err
+	}
+	return resp, msgpack.Unmarshal(message, &resp)
+}
+
 // Serve serves Fetch and FetchMembers on a listener until it is closed.
 func Serve(listener net.Listener, source Source) {
 	for {
@@ -97,7 +117,7 @@
 		return // the connection is already closed
 	}
 	var req request
-	if msgpack.NewDecoder(conn).Decode(&req) != nil {
+	if msgpack.NewDecoder(io.LimitReader(conn, maxRequestBytes)).Decode(&req) != nil {
 		return // the peer detects the closed connection and tries another process
 	}
 	var resp response
