Member records with a field out of range are left out

Records with the largest incarnation made others take a living member for dead for good, as the next incarnation was zero. A name of more than a datagram spoils the records that are sent beside it. Cause: of all fields of a record, only the address of a message's sender was checked, and only for being set. Change: Member.Validate says what each field holds. A record out of range is left out and counted (almondledge_bad_records), the records beside it count; a message whose sender states such a record of itself is refused. A member refutes each record that others accept: the incarnation rises after the highest revision. A process whose own record would be left out does not start, and says why.

--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -80,8 +80,11 @@
 	if err := msgpack.Unmarshal(payload, m); err != nil {
 		return nil, errkind.Wrap(err, errkind.Invalid, "membership message cannot be read", "check that all processes run the same release")
 	}
-	if m.Type < typePing || m.Type > typeTable || !m.From.Addr.IsValid() || len(m.Members) > maxDatagramMembers {
+	if m.Type < typePing || m.Type > typeTable || len(m.Members) > maxDatagramMembers {
 		return nil, errkind.New(errkind.Invalid, "membership message has fields out of range", "check that all processes run the same release")
 	}
+	if err := m.From.Validate(); err != nil {
+		return nil, err
+	}
 	return m, nil
 }
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -33,6 +33,8 @@
 	relays   map[uint32]relay
 	sequence uint32
 	joined   bool
+	// badRecords counts the records that were left out because a field was out of range.
+	badRecords int
 	// introductionsLeft is the number of members to which this member may still introduce itself.
 	introductionsLeft int
 
@@ -153,6 +155,9 @@
 // Len returns the number of members, including dead ones.
 func (n *Node) Len() int { return len(n.table) }
 
+// BadRecords returns the number of records that were left out because a field was out of range.
+func (n *Node) BadRecords() int { return n.badRecords }
+
 // Count returns the number of members with the given liveness.
 func (n *Node) Count(l Liveness) int {
 	count := 0
@@ -174,8 +179,13 @@
 	return members
 }
 
-// publishSelf increments the revision of this member's own record and gossips it.
+// publishSelf increments the revision of this member's own record, or its incarnation after the highest revision, and
+// gossips the record.
 func (n *Node) publishSelf(now time.Time) {
+	if n.self.Revision >= maxRevision {
+		n.self.Incarnation++
+		n.self.Revision = 0
+	}
 	n.self.Revision++
 	n.setRecord(now, n.self, n.self.Member)
 	n.events = append(n.events, Event{Kind: SelfChanged, Member: n.self.Member})
@@ -205,8 +215,13 @@
 	}
 }
 
-// mergeRecord merges a record into the table without gossiping it, and reports whether it was new.
+// mergeRecord merges a record into the table without gossiping it, and reports whether it was new. A record with a
+// field out of range is left out.
 func (n *Node) mergeRecord(now time.Time, m Member) bool {
+	if m.Validate() != nil {
+		n.badRecords++
+		return false
+	}
 	if m.Addr == n.self.Addr {
 		n.refute(now, m)
 		return false
@@ -234,10 +249,9 @@
 	if !Supersedes(&m, &n.self.Member) {
 		return
 	}
-	n.self.Incarnation = max(n.self.Incarnation, m.Incarnation)
-	n.self.Revision = max(n.self.Revision, m.Revision)
-	if m.Incarnation > n.cfg.Self.Incarnation {
-		n.self.Incarnation = m.Incarnation + 1
+	n.self.Incarnation, n.self.Revision = m.Incarnation, m.Revision
+	if m.Incarnation > n.cfg.Self.Incarnation && m.Incarnation < maxMillis {
+		n.self.Incarnation, n.self.Revision = m.Incarnation+1, 0
 	}
 	n.events = append(n.events, Event{Kind: Refuted, Member: m})
 	n.publishSelf(now)
--- a/internal/flowproc/core.go
+++ b/internal/flowproc/core.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/fleet"
 	"github.com/almondledge/almondledge/internal/placement"
 	"github.com/almondledge/almondledge/internal/route"
@@ -83,6 +84,9 @@
 	self.Addr = cfg.Peer
 	self.DataCentre = cfg.DataCentre
 	self.Incarnation = uint64(now.UnixMilli())
+	if err := self.Validate(); err != nil {
+		return nil, errkind.Wrap(err, errkind.Invalid, "settings make a record that other processes would leave out", "shorten the names in the settings, and give an IPv4 address")
+	}
 	c.node = fleet.New(now, fleet.Config{
 		Self:  self,
 		Seeds: cfg.Seeds,
--- /dev/null
+++ b/internal/flowproc/foreign_test.go
@@ -0,0 +1,53 @@
+package flowproc_test
+
+import (
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/almondledge/almondledge/internal/fleet"
+	"github.com/almondledge/almondledge/internal/hop"
+)
+
+// membershipDatagram returns a membership message of an agent at from that carries records.
+func membershipDatagram(t *testing.T, from netip.AddrPort, records ...fleet.Member) []byte {
+	t.Helper()
+	sender := fleet.Member{Addr: from, Role: fleet.Agent, DataCentre: "dc0", Incarnation: uint64(time.Now().UnixMilli()), Backend: fleet.Backend{Service: "other"}}
+	payload, err := msgpack.Marshal([]any{
+		uint8(4), uint32(1), sender, fleet.Load{}, uint64(0), uint64(1), uint32(1), uint32(0), false, netip.AddrPort{}, records,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return append([]byte{byte(hop.TypeMembership)}, payload...)
+}
+
+// Guards against member records of other programs with addresses that no process has: they spread to all processes, each
+// of which ended when it computed the home agents, and again after its restart.
+func TestRecordOfAnotherProgramEndsNoProcess(t *testing.T) {
+	for _, address := range []string{"[2001:db8::1]:7000", "[fe80::1%eth0]:7000"} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			d := deploy(t, 2, 3)
+			c := d.call(0, 1000)
+			odd := fleet.Member{
+				Addr: netip.MustParseAddrPort(address), Role: fleet.Agent, DataCentre: "dc0", Incarnation: 1,
+				Backend: fleet.Backend{Service: service, State: fleet.BackendReady, Slots: 5},
+			}
+			to := netip.AddrPortFrom(agentAddr(0), peerPort)
+			from := netip.MustParseAddrPort("10.9.9.9:7000")
+			d.net.Inject(from, to, membershipDatagram(t, from, odd))
+			time.Sleep(time.Second)
+			d.request(0, c)
+			is.Equal(len(d.read(c).Answers), 2)
+			is.Equal(len(d.read(d.call(1, 1001)).Answers), 1)
+			is.True(!strings.Contains(d.logs.String(), odd.Addr.String())) // no process has taken the record
+			is.Equal(value(d.scrape(agentAddr(0)), "almondledge_bad_records"), "1")
+		})
+	}
+}
--- a/internal/flowproc/metrics.go
+++ b/internal/flowproc/metrics.go
@@ -59,6 +59,11 @@
 		defer c.mu.Unlock()
 		return c.follower.Age(time.Now()).Seconds()
 	})
+	set.NewGauge("almondledge_bad_records", func() float64 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return float64(c.node.BadRecords())
+	})
 	for _, liveness := range []fleet.Liveness{fleet.Alive, fleet.Leaving, fleet.Suspect, fleet.Dead} {
 		set.NewGauge(`almondledge_members{liveness="`+liveness.String()+`"}`, func() float64 {
 			c.mu.Lock()
