Roster entries of other programs are left out by key and by address

Each such address was contacted as a seed for ever and took the room of another. An entry at an odd key with the address of a balancer kept that balancer out of its roster. Cause: the key was not read, and an address only had to be set. Change: holderOf reads an entry: its key must be that of a place, its address one that a balancer can have.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -18,9 +18,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -76,11 +78,14 @@
 // AllDataCentres makes Contacts read the rosters of all data centres.
 const AllDataCentres = ""
 
+// ErrDamaged is the cause of the error for an entry that no balancer has written.
+var ErrDamaged = errors.New("not the address of a balancer at a place of a roster")
+
 // Contacts returns the addresses to contact first: the addresses in the settings,
 // followed by the addresses in the roster of dataCentre or of AllDataCentres. If
 // the roster cannot be read, it returns an error together with the addresses in
-// the settings; if an entry is damaged, an error together with all other
-// addresses.
+// the settings; if an entry is damaged, an error with the cause ErrDamaged together
+// with all other addresses.
 func Contacts(ctx context.Context, st Store, dataCentre string, settings []netip.AddrPort) ([]netip.AddrPort, error) {
 	contacts := slices.Clone(settings)
 	prefix, limit := rosterPrefix(dataCentre), len(settings)+Places
@@ -92,24 +97,43 @@
 		return contacts, err
 	}
 	for _, entry := range snapshot.Entries {
-		var found Entry
-		if json.Unmarshal(entry.Value, &found) != nil || !found.Address.IsValid() {
-			err = errkind.New(errkind.Invalid, "the value of key "+entry.Key+" is damaged",
+		address, ok := holderOf(entry)
+		if !ok {
+			err = errkind.Wrap(ErrDamaged, errkind.Invalid, "the entry of key "+entry.Key+" is left out",
 				"find out which other program writes under "+Prefix)
 			continue
 		}
-		if !slices.Contains(contacts, found.Address) && len(contacts) < limit {
-			contacts = append(contacts, found.Address)
+		if !slices.Contains(contacts, address) && len(contacts) < limit {
+			contacts = append(contacts, address)
 		}
 	}
 	return contacts, err
 }
 
+// holderOf returns the address of the balancer that holds the place of an entry. It returns false for an entry that no
+// balancer has written: one whose key is not that of a place, or whose value is damaged.
+func holderOf(entry store.Entry) (netip.AddrPort, bool) {
+	var value Entry
+	if !isPlaceKey(entry.Key) || json.Unmarshal(entry.Value, &value) != nil {
+		return netip.AddrPort{}, false
+	}
+	ip := value.Address.Addr()
+	return value.Address, ip.Is4() && !ip.IsUnspecified() && !ip.IsMulticast() && value.Address.Port() != 0
+}
+
+// isPlaceKey reports whether a key is that of a place in the roster of some data centre.
+func isPlaceKey(key string) bool {
+	rest, ok := strings.CutPrefix(key, Prefix)
+	dataCentre, number, found := strings.Cut(rest, "/")
+	place, err := strconv.Atoi(number)
+	return ok && found && err == nil && place >= 0 && place < Places && key == placeKey(dataCentre, place)
+}
+
 // holdsPlace reports whether a place is held by self.
 func holdsPlace(dataCentre string, place int, self netip.AddrPort, snapshot store.Snapshot) bool {
 	return slices.ContainsFunc(snapshot.Entries, func(entry store.Entry) bool {
-		var found Entry
-		return entry.Key == placeKey(dataCentre, place) && json.Unmarshal(entry.Value, &found) == nil && found.Address == self
+		holder, ok := holderOf(entry)
+		return ok && entry.Key == placeKey(dataCentre, place) && holder == self
 	})
 }
 
@@ -119,8 +143,7 @@
 	taken := make(map[string]bool)
 	for _, entry := range snapshot.Entries {
 		taken[strings.TrimPrefix(entry.Key, rosterPrefix(dataCentre))] = true
-		var found Entry
-		if json.Unmarshal(entry.Value, &found) == nil && found.Address == self {
+		if holder, ok := holderOf(entry); ok && holder == self {
 			return nil
 		}
 	}
