A roster with a damaged entry is not read again and again

Here, a process that had met no other one read a roster with one damaged entry every 300 ms, without an end. At 5,900 balancers that start together, as after a loss of everything, these are 19,000 reads a second of the 2,000 that the store serves, and the reads of the desired state are refused with them (worked out, not played at that size). Cause: Contacts reports a damaged entry by an error, beside all good addresses, and the caller took each error for a failed read. Change: damage is logged, and the roster counts as read. Evidence: TestDamagedRosterIsNotReadAgainAndAgain failed on the code before and passes.

--- a/internal/flowproc/contact.go
+++ b/internal/flowproc/contact.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/almondledge/almondledge/internal/roster"
@@ -40,6 +41,10 @@
 		c.mu.Lock()
 		c.node.AddSeeds(contacts)
 		c.mu.Unlock()
+		if errors.Is(err, roster.ErrDamaged) {
+			c.log.failure("roster has entries of another program; they are left out", err, fields{"contacts": len(contacts)})
+			return // reading them again would only load the store
+		}
 		if err == nil || c.hasJoined() {
 			c.log.event("roster read", fields{"contacts": len(contacts)})
 			return
--- a/internal/flowproc/deployment_test.go
+++ b/internal/flowproc/deployment_test.go
@@ -18,6 +18,7 @@
 	"github.com/almondledge/almondledge/internal/hop"
 	"github.com/almondledge/almondledge/internal/logging"
 	"github.com/almondledge/almondledge/internal/memnet"
+	"github.com/almondledge/almondledge/internal/roster"
 	"github.com/almondledge/almondledge/internal/route"
 	"github.com/almondledge/almondledge/internal/standin/flows"
 	"github.com/almondledge/almondledge/internal/store"
@@ -94,6 +95,7 @@
 	ctx       context.Context
 	net       *memnet.Net
 	store     *stateStore
+	roster    roster.Store
 	balancers []*process
 	agents    []*agentProcess
 	callers   map[flow.Key]*flows.Caller
@@ -140,8 +142,12 @@
 
 // deploy starts balancers and agents and waits for a minute.
 func deploy(t *testing.T, balancers, agents int) *deployment {
+	return deployWithRoster(t, nil, balancers, agents)
+}
+
+func deployWithRoster(t *testing.T, st roster.Store, balancers, agents int) *deployment {
 	d := &deployment{
-		t: t, net: memnet.New(1), store: &stateStore{}, callers: map[flow.Key]*flows.Caller{}, logs: &lockedBuffer{},
+		t: t, net: memnet.New(1), store: &stateStore{}, roster: st, callers: map[flow.Key]*flows.Caller{}, logs: &lockedBuffer{},
 	}
 	ctx, stop := context.WithCancel(t.Context())
 	d.ctx = ctx
@@ -202,6 +208,7 @@
 	}
 	seed := uint64(addr.As4()[3])
 	return flowproc.Options{
+		Roster:  d.roster,
 		Network: d.net.Host(addr), Codec: flows.Codec{}, States: d.store, Log: logger, Rand: rand.New(rand.NewPCG(seed, seed)),
 	}
 }
--- a/internal/flowproc/foreign_test.go
+++ b/internal/flowproc/foreign_test.go
@@ -1,8 +1,10 @@
 package flowproc_test
 
 import (
+	"context"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,8 +12,11 @@
 	"github.com/matryer/is"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/fleet"
 	"github.com/almondledge/almondledge/internal/hop"
+	"github.com/almondledge/almondledge/internal/roster"
+	"github.com/almondledge/almondledge/internal/store"
 )
 
 // membershipDatagram returns a membership message of an agent at from that carries records.
@@ -51,3 +56,31 @@
 		})
 	}
 }
+
+// damagedRoster is a store of rosters that holds one entry of another program. It counts the reads.
+type damagedRoster struct {
+	roster.Store
+	reads atomic.Int64
+}
+
+func (s *damagedRoster) Range(context.Context, string) (store.Snapshot, error) {
+	s.reads.Add(1)
+	return store.Snapshot{Entries: []store.Entry{{Key: roster.Prefix + "dc1/0", Value: []byte("odd")}}}, nil
+}
+
+func (*damagedRoster) Grant(context.Context, time.Duration) (store.LeaseID, error) {
+	return 0, errkind.New(errkind.Overloaded, "store refuses the call", "none needed")
+}
+
+// Guards against reads without an end: a process that had met no other one read a roster with a damaged entry three
+// times a second. The store serves 2,000 reads a second, 5,900 balancers may start at once.
+func TestDamagedRosterIsNotReadAgainAndAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const storeReads, processes, seconds = 2000, 5900, 60 // deploy waits for a minute
+		st := &damagedRoster{}
+		d := deployWithRoster(t, st, 1, 0)
+		is := is.New(t)
+		is.True(st.reads.Load() <= storeReads*seconds/processes)
+		is.True(strings.Contains(d.logs.String(), "roster has entries of another program"))
+	})
+}
