Loads of processes that are no members are not kept

Notices of other programs, whose source address is theirs to choose, filled the memory of the process without a limit (entries of members are removed with the member). Cause: Directory.load created an entry for any address. Change: only members get one.

--- a/internal/placement/directory.go
+++ b/internal/placement/directory.go
@@ -115,11 +115,14 @@
 	}
 }
 
+// load returns the load of an agent. That of a process that is no member is not kept: any program can send notices.
 func (d *Directory) load(agent netip.AddrPort) *load {
 	l := d.loads[agent]
 	if l == nil {
 		l = &load{}
-		d.loads[agent] = l
+		if _, known := d.members[agent]; known {
+			d.loads[agent] = l
+		}
 	}
 	return l
 }
