The desired state is followed while its changes cannot be read

A response over the limit, or that could not be decoded, ended the reads of changes with an error until the next full read, up to eight seconds later; three seconds are allowed. Cause: only a response that the history is gone led to a full read at once. Change: changes that cannot be read lead to it, too.

--- a/internal/flowproc/deployment_test.go
+++ b/internal/flowproc/deployment_test.go
@@ -45,6 +45,8 @@
 	epoch    uint64
 	revision int64
 	down     bool
+	// unreadable makes the changes of the state unreadable, but not the state itself.
+	unreadable bool
 }
 
 func (s *stateStore) set(state route.State) {
@@ -68,6 +70,12 @@
 	s.down = down
 }
 
+func (s *stateStore) changesUnreadable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unreadable
+}
+
 func (s *stateStore) ReadState(context.Context) (route.State, store.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -81,6 +89,8 @@
 	state, newest, err := s.ReadState(ctx)
 	switch {
 	case err != nil:
+	case s.changesUnreadable():
+		err = errkind.New(errkind.Invalid, "changes cannot be decoded", "check the store")
 	case newest.Epoch != after.Epoch:
 		err = errkind.New(errkind.Stale, "store was restored", "none needed")
 	case newest.Revision <= after.Revision:
--- a/internal/flowproc/foreign_test.go
+++ b/internal/flowproc/foreign_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"strings"
 	"sync/atomic"
@@ -84,3 +85,26 @@
 		is.True(strings.Contains(d.logs.String(), "roster has entries of another program"))
 	})
 }
+
+// Guards against changes that cannot be read because of items of other programs beside the desired state, or that exceed
+// the limit of a response: the state was not followed until the next full read, eight seconds later.
+func TestStateIsFollowedWhileItsChangesCannotBeRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := deploy(t, 2, 2)
+		d.store.mu.Lock()
+		d.store.unreadable = true
+		d.store.mu.Unlock()
+		for version := uint64(2); version < 30; version++ {
+			d.store.set(stateFor(version))
+			time.Sleep(3 * time.Second) // the time within which a state must be in force
+			inForce := 0
+			for line := range strings.Lines(d.logs.String()) {
+				if strings.Contains(line, "desired state in force") && strings.Contains(line, fmt.Sprintf("version=%d", version)) {
+					inForce++
+				}
+			}
+			is.Equal(inForce, 4) // once at each process
+		}
+	})
+}
--- a/internal/flowproc/state.go
+++ b/internal/flowproc/state.go
@@ -59,15 +59,15 @@
 }
 
 // queryStore reads changes since the last position. It reads the full state if the last full read
-// was too long ago, or if the store no longer has the changes or was restored from an earlier copy. It returns
-// a zero state if nothing changed.
+// was too long ago, if the store no longer has the changes or was restored from an earlier copy, or if the changes
+// cannot be read: they may include items of other programs. It returns a zero state if nothing changed.
 func (c *core) queryStore(ctx context.Context, now time.Time) (route.State, store.Position, error) {
 	c.mu.Lock()
 	position, lastRead := c.position, c.lastRead
 	c.mu.Unlock()
 	if position.Revision > 0 && now.Sub(lastRead) < fullReadPeriod {
 		state, newest, err := c.opt.States.ReadChange(ctx, position)
-		if !errkind.Is(err, errkind.Stale) {
+		if !errkind.Is(err, errkind.Stale) && !errkind.Is(err, errkind.Invalid) {
 			return state, newest, err
 		}
 	}
