Leave messages count for the incarnation that sent them

Leave messages were matched by the ID alone. Change: the start time of a leave message must be that of the current incarnation. Ignored leave messages are logged. TestLeave and TestLeavingBackendIsGoneAfterTheLeaveDelay follow the new signature and check as much as before.

--- a/internal/flowagent/report.go
+++ b/internal/flowagent/report.go
@@ -50,6 +50,14 @@
 	firstReportMaxAge = 400 * time.Millisecond
 )
 
+// Leave is the message in which a backend server states that it is ending.
+type Leave struct {
+	// ID identifies the backend server, as in its reports.
+	ID string
+	// StartMillis is the start time of the backend server in Unix milliseconds. It is zero if the message states none.
+	StartMillis int64
+}
+
 // Ranges of the numbers in a report. A report outside of them comes from another program.
 const (
 	// maxClockStep is how far the start time of a backend server may lie in the future, because the clock of the
@@ -153,15 +161,26 @@
 	return age >= 0 && age < firstReportMaxAge
 }
 
-// Leave handles the leave message of the backend server with the given ID. A message of any other backend
-// server changes nothing.
-func (r *ReportTracker) Leave(now time.Time, id string) fleet.Backend {
-	if id != r.id || r.backend.State == fleet.BackendGone {
-		return r.backend
+// Leave applies a leave message and returns the resulting state of the backend server. An error of kind Stale means
+// that the message is not of the current incarnation and changed nothing. Since a backend server drains before it
+// leaves, a message without a start time counts only while the backend server drains: it may be a late one of an
+// earlier incarnation with the same ID.
+func (r *ReportTracker) Leave(now time.Time, m Leave) (fleet.Backend, error) {
+	isCurrent := m.StartMillis == r.backend.StartMillis
+	if m.StartMillis == 0 {
+		isCurrent = r.backend.State == fleet.BackendDraining
+	}
+	switch {
+	case m.ID != r.id || !isCurrent:
+		return r.backend, errkind.New(errkind.Stale,
+			fmt.Sprintf("leave message of %q, start at %d, while %q, start at %d, is %v", m.ID, m.StartMillis, r.id, r.backend.StartMillis, r.backend.State),
+			"none needed: the backend server stays in use")
+	case r.backend.State == fleet.BackendGone:
+		return r.backend, nil
 	}
 	r.backend.State = fleet.BackendDraining
 	r.goneAt = now.Add(leaveDelay)
-	return r.backend
+	return r.backend, nil
 }
 
 // Sequence returns the sequence number of the last report that was applied.
--- a/internal/flowagent/report_test.go
+++ b/internal/flowagent/report_test.go
@@ -160,12 +160,63 @@
 	reports := flowagent.NewReportTracker(alphaBackend)
 	_, err := reports.Apply(at, flowagent.Report{Identity: alphaBackend, ID: "a", State: fleet.BackendDraining, StartMillis: 1, Slots: 5, Sequence: 1})
 	is.NoErr(err)
-	is.Equal(reports.Leave(at, "b").State, fleet.BackendDraining) // the leave message of another backend server
+	b, err := reports.Leave(at, flowagent.Leave{ID: "b"}) // the leave message of another backend server
+	is.True(errkind.Is(err, errkind.Stale))
+	is.Equal(b.State, fleet.BackendDraining)
 	_, changed := reports.Tick(at.Add(time.Hour))
 	is.True(!changed)
-	is.Equal(reports.Leave(at, "a").State, fleet.BackendDraining)
-	b, _ := reports.Tick(at.Add(100 * time.Millisecond))
+	b, err = reports.Leave(at, flowagent.Leave{ID: "a"})
+	is.NoErr(err)
+	is.Equal(b.State, fleet.BackendDraining)
+	b, _ = reports.Tick(at.Add(100 * time.Millisecond))
 	is.Equal(b.State, fleet.BackendDraining)
 	b, _ = reports.Tick(at.Add(time.Second))
 	is.Equal(b.State, fleet.BackendGone)
 }
+
+// Guards against review case 5: a leave message of an earlier incarnation with the same ID, which arrived late, ended the
+// current one, and its open flows were reset.
+func TestLeaveMessagesOfIncarnations(t *testing.T) {
+	at := time.Unix(2_000_000_000, 0)
+	current := at.Add(-10 * time.Second).UnixMilli()
+	tests := []struct {
+		name  string
+		state fleet.BackendState
+		leave flowagent.Leave
+		goes  bool
+	}{
+		{"the current one, draining", fleet.BackendDraining, flowagent.Leave{ID: "a", StartMillis: current}, true},
+		{"the current one, ready", fleet.BackendReady, flowagent.Leave{ID: "a", StartMillis: current}, true},
+		{"an earlier one", fleet.BackendReady, flowagent.Leave{ID: "a", StartMillis: current - 5000}, false},
+		{"an earlier one, while the current one drains", fleet.BackendDraining, flowagent.Leave{ID: "a", StartMillis: current - 5000}, false},
+		{"a later one", fleet.BackendReady, flowagent.Leave{ID: "a", StartMillis: current + 5000}, false},
+		{"one that is not stated, draining", fleet.BackendDraining, flowagent.Leave{ID: "a"}, true},
+		{"one that is not stated, ready", fleet.BackendReady, flowagent.Leave{ID: "a"}, false},
+		{"one of another ID", fleet.BackendDraining, flowagent.Leave{ID: "b", StartMillis: current}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			reports := flowagent.NewReportTracker(alphaBackend)
+			_, err := reports.Apply(at, flowagent.Report{Identity: alphaBackend, ID: "a", State: test.state, StartMillis: current, Slots: 5, Sequence: 8})
+			is.NoErr(err)
+			_, err = reports.Leave(at, test.leave)
+			is.Equal(errkind.Is(err, errkind.Stale), !test.goes)
+			b, _ := reports.Tick(at.Add(time.Second))
+			is.Equal(b.State == fleet.BackendGone, test.goes)
+			if !test.goes {
+				is.Equal(b.State, test.state)
+			}
+		})
+	}
+}
+
+// Before its first report, the incarnation beside the agent is unknown, so no leave message can be of it.
+func TestLeaveMessageBeforeTheFirstReport(t *testing.T) {
+	is := is.New(t)
+	reports := flowagent.NewReportTracker(alphaBackend)
+	for _, leave := range []flowagent.Leave{{}, {ID: "a"}, {ID: "a", StartMillis: 5}} {
+		_, err := reports.Leave(time.Unix(2_000_000_000, 0), leave)
+		is.True(errkind.Is(err, errkind.Stale))
+	}
+}
--- a/internal/flowproc/agent.go
+++ b/internal/flowproc/agent.go
@@ -122,7 +122,7 @@
 	return nil
 }
 
-// RefuseReport counts and logs a message that states the ID of a backend server, but could not be translated for
+// RefuseReport counts and logs a report or leave message that states the ID of a backend server, but could not be translated for
 // the given reason.
 func (a *Agent) RefuseReport(id string, reason error) {
 	a.mu.Lock()
@@ -137,12 +137,19 @@
 	a.log.boundedFailure(now, "backend server report ignored", reason, pairs)
 }
 
-// Leave records that the backend server is ending.
-func (a *Agent) Leave(id string) {
+// Leave records that the backend server is ending. It returns an error of kind Stale if the message is not of the
+// current incarnation of the backend server.
+func (a *Agent) Leave(m flowagent.Leave) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
-	a.setBackend(now, a.reports.Leave(now, id), id)
+	b, err := a.reports.Leave(now, m)
+	if err != nil {
+		a.log.boundedFailure(now, "backend server's leave message ignored", err, fields{"backend_id": m.ID, "born": m.StartMillis})
+		return err
+	}
+	a.setBackend(now, b, m.ID)
+	return nil
 }
 
 // setBackend applies a new state of the backend server and publishes it to the other members.
