A process that starts learns of the members that have died lately

Cause: a process that has joined leaves out dead members that it does not know, as such records may be outdated, and it counts as joined from the first datagram of a table. Of more than 14 members, those in later datagrams were left out if dead. Change: the answer to a request for a table states how long ago a member died (the field Sequence, unused in table messages before), one datagram for each of the last 16; a fetched table states it for all (key dead_ages). With that time a record is added also later, and forgotten 90 s after the death, whoever passed it on. Earlier releases ignore the time, and a table of theirs is handled as before. Not kept: to accept all dead members for 2 s after the first datagram. TestGoneNodeIsForgottenWhileOthersRestart showed that a record then passed from one starting process to the next for all of the 20 minutes that it was played.

--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -87,6 +87,6 @@
 	members := m.nodes[addrOf(0)].Members()
 	for b.Loop() {
 		joiner := newMesh(1).nodes[addrOf(0)]
-		joiner.MergeTable(m.now, members)
+		joiner.MergeTable(m.now, members, nil)
 	}
 }
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -23,6 +23,9 @@
 	// forgetTimeout is how long a dead member is kept, so that late updates about it are recognised
 	// as outdated.
 	forgetTimeout = 90 * time.Second
+	// learnDeadTimeout is the time since its death up to which a dead member is added to a table. It is less than
+	// forgetTimeout, so that members do not add what others are about to forget.
+	learnDeadTimeout = 80 * time.Second
 	// joinPeriod is the interval of attempts to reach the seeds until one has answered.
 	joinPeriod = 100 * time.Millisecond
 	// rejoinPeriod is the interval of messages to seeds that are not considered alive. After a
@@ -59,6 +62,8 @@
 	doublingsPerRepeat = 2
 	// maxTableDatagrams bounds the datagrams that answer one request for a table.
 	maxTableDatagrams = 24
+	// maxDeadDatagrams bounds the dead members whose time since death is stated in the answer to a request for a table.
+	maxDeadDatagrams = 16
 	// pushedUpdates bounds the updates in a message that immediately sends a new update, probeUpdates the
 	// updates in a probe or its answer.
 	pushedUpdates = 3
--- a/internal/fleet/foreign_test.go
+++ b/internal/fleet/foreign_test.go
@@ -109,7 +109,7 @@
 			is.True(errkind.Is(err, errkind.Invalid)) // the sender of a message names itself
 			is.Equal(len(events), 0)
 
-			node.MergeTable(m.now, []fleet.Member{bad, good})
+			node.MergeTable(m.now, []fleet.Member{bad, good}, nil)
 			is.Equal(memberAddrs(node), []netip.AddrPort{addrOf(0), addrOf(7), addrOf(8)})
 			is.Equal(node.BadRecords(), 2)
 		})
--- a/internal/fleet/handle.go
+++ b/internal/fleet/handle.go
@@ -31,7 +31,7 @@
 	case typeUpdates, typeTable:
 		n.joined = n.joined || (m.Type == typeTable && !m.WantTable)
 		if m.WantTable {
-			n.sendTable(m.From.Addr)
+			n.sendTable(now, m.From.Addr)
 		}
 	}
 	if m.Type == typePing && m.Sum != n.sum && !now.Before(n.nextCompare) {
@@ -53,7 +53,7 @@
 	n.applyUpdate(now, m.From)
 	for i := range m.Members {
 		if m.Type == typeTable {
-			n.mergeTableRecord(now, m.Members[i])
+			n.mergeTableRecord(now, m.Members[i], m.died(now))
 		} else {
 			n.applyUpdate(now, m.Members[i])
 		}
@@ -72,8 +72,8 @@
 // mergeTableRecord merges a record from another member's table. Other members know it already, so
 // it is only added to later messages. A process that has just started also introduces itself to the
 // first alive members that it learns of.
-func (n *Node) mergeTableRecord(now time.Time, m Member) {
-	if !n.mergeRecord(now, m) {
+func (n *Node) mergeTableRecord(now time.Time, m Member, died time.Time) {
+	if !n.mergeRecord(now, m, died) {
 		return
 	}
 	n.queueUpdate(m.Addr)
@@ -127,12 +127,16 @@
 	n.events = append(n.events, Event{Kind: FellBehind, Member: m.From})
 }
 
-// MergeTable merges records of another member's table. They are not gossiped, because other members
-// have gossiped them already.
-func (n *Node) MergeTable(now time.Time, members []Member) ([]Send, []Event) {
+// MergeTable merges records of another member's table, and the times since the deaths of the dead members among them.
+// The records are not gossiped, because other members have gossiped them already.
+func (n *Node) MergeTable(now time.Time, members []Member, ages []DeadAge) ([]Send, []Event) {
 	n.lastFetch = now
+	died := make(map[netip.AddrPort]time.Time, len(ages))
+	for _, a := range ages {
+		died[a.Addr] = now.Add(-time.Duration(a.AgeMS) * time.Millisecond)
+	}
 	for i := range members {
-		n.mergeRecord(now, members[i])
+		n.mergeRecord(now, members[i], died[members[i].Addr])
 	}
 	return n.takeOutput()
 }
@@ -158,7 +162,8 @@
 
 // sendTable sends this table to a member that asked for it, at most maxTableDatagrams datagrams.
 // Comparing tables transfers the rest.
-func (n *Node) sendTable(to netip.AddrPort) {
+func (n *Node) sendTable(now time.Time, to netip.AddrPort) {
+	n.sendDead(now, to)
 	const limit = maxTableDatagrams * maxDatagramMembers
 	addrs := n.remote.sample(limit, n.cfg.Rand)
 	addrs = append(addrs, n.local.sample(limit-len(addrs), n.cfg.Rand)...)
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -38,7 +38,9 @@
 type message struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 
-	Type     messageType
+	Type messageType
+	// Sequence identifies the probe of a ping, a ping request or an ack. In a table message it is the time since the
+	// death of the dead members in it in milliseconds, or zero if the sender does not state it.
 	Sequence uint32
 	// From is the sender's record of itself.
 	From Member
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -192,12 +192,12 @@
 	n.gossip(n.self.Addr)
 }
 
-// setRecord replaces the record of a table entry.
-func (n *Node) setRecord(now time.Time, r *tableEntry, m Member) {
+// setRecord replaces the record of a table entry. The record has been valid since the given time.
+func (n *Node) setRecord(since time.Time, r *tableEntry, m Member) {
 	n.sum ^= r.sumCache
 	r.Member = m
 	r.sumCache = m.sum()
-	r.since = now
+	r.since = since
 	n.sum ^= r.sumCache
 	if m.Liveness == Alive || r == n.self {
 		delete(n.expiring, m.Addr)
@@ -210,14 +210,14 @@
 
 // applyUpdate merges a record and gossips the record if it is new.
 func (n *Node) applyUpdate(now time.Time, m Member) {
-	if n.mergeRecord(now, m) {
+	if n.mergeRecord(now, m, time.Time{}) {
 		n.gossip(m.Addr)
 	}
 }
 
 // mergeRecord merges a record into the table without gossiping it, and reports whether it was new. A record with a
-// field out of range is left out.
-func (n *Node) mergeRecord(now time.Time, m Member) bool {
+// field out of range is left out. For a dead member, died is the time of its death, or zero if it is not stated.
+func (n *Node) mergeRecord(now time.Time, m Member, died time.Time) bool {
 	if m.Validate() != nil {
 		n.badRecords++
 		return false
@@ -228,8 +228,8 @@
 	}
 	r := n.table[m.Addr]
 	if r == nil {
-		if m.Liveness == Dead && n.joined {
-			return false // late update about a member that this node never knew
+		if m.Liveness == Dead && !n.mayLearnOfDeath(now, died) {
+			return false
 		}
 		r = &tableEntry{}
 		n.table[m.Addr] = r
@@ -238,7 +238,11 @@
 		n.noteDuplicate(&m, r)
 		return false
 	}
-	n.setRecord(now, r, m)
+	since := now
+	if m.Liveness == Dead && !died.IsZero() {
+		since = died
+	}
+	n.setRecord(since, r, m)
 	n.events = append(n.events, Event{Kind: MemberChanged, Member: m})
 	return true
 }
--- a/internal/fleet/table_test.go
+++ b/internal/fleet/table_test.go
@@ -38,7 +38,7 @@
 	wanted := m.takeFetchRequests()
 	is.Equal(len(wanted), 1) // fetched once, although several messages show the size
 	is.Equal(wanted[0].Addr, addrOf(0))
-	sends, events := joiner.MergeTable(m.now, m.nodes[addrOf(0)].Members())
+	sends, events := joiner.MergeTable(m.now, m.nodes[addrOf(0)].Members(), nil)
 	is.Equal(joiner.Len(), members+1)
 	is.Equal(len(sends), 0) // records that other members know are not gossiped
 	is.True(len(events) > members/2)
@@ -63,7 +63,7 @@
 	addFakeMembers(m, node, members)
 	m.add(members)
 	other := m.nodes[addrOf(members)]
-	other.MergeTable(m.now, node.Members()[:members-1])
+	other.MergeTable(m.now, node.Members()[:members-1], nil)
 	m.events = nil
 	for range 70 {
 		m.now = m.now.Add(10 * time.Second)
@@ -73,7 +73,7 @@
 		m.events = append(m.events, events...)
 		for _, e := range events {
 			if e.Kind == fleet.FellBehind {
-				node.MergeTable(m.now, other.Members())
+				node.MergeTable(m.now, other.Members(), nil)
 			}
 		}
 	}
--- a/internal/flowproc/members.go
+++ b/internal/flowproc/members.go
@@ -22,18 +22,18 @@
 // Table returns the active desired state, or nil.
 func (s source) Table() *route.Table { return s.table() }
 
-// Members returns all member records.
-func (s source) Members() []fleet.Member {
+// Members returns all member records, and the times since the deaths of the dead members among them.
+func (s source) Members() ([]fleet.Member, []fleet.DeadAge) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.node.Members()
+	return s.node.Members(), s.node.DeadAges(time.Now())
 }
 
 // fetchMembers fetches and merges the table of another member, because many members are missing in
 // the table of this process.
 func (c *core) fetchMembers(ctx context.Context, from netip.AddrPort) {
 	begun := time.Now()
-	members, err := statesync.FetchMembers(ctx, c.opt.Network.DialTCP, from)
+	members, deadAges, err := statesync.FetchMembers(ctx, c.opt.Network.DialTCP, from)
 	if err != nil {
 		c.metrics.fetchErrors.Inc()
 		c.log.failure("cannot fetch the member table", err, fields{logging.FieldPeer: from})
@@ -41,18 +41,18 @@
 	}
 	added := 0
 	for chunk := range slices.Chunk(members, tableChunk) {
-		added += c.mergeTable(ctx, chunk)
+		added += c.mergeTable(ctx, chunk, deadAges)
 	}
 	c.log.event("members fetched", fields{logging.FieldPeer: from, "members": len(members), "new": added, "took": time.Since(begun)})
 }
 
 // mergeTable merges a part of a table and returns the number of new records. New records are not logged one
 // by one, since a whole table would fill the log buffer.
-func (c *core) mergeTable(ctx context.Context, members []fleet.Member) int {
+func (c *core) mergeTable(ctx context.Context, members []fleet.Member, deadAges []fleet.DeadAge) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	sends, events := c.node.MergeTable(now, members)
+	sends, events := c.node.MergeTable(now, members, deadAges)
 	c.sendMembership(sends)
 	added := 0
 	for _, e := range events {
--- a/internal/statesync/bench_test.go
+++ b/internal/statesync/bench_test.go
@@ -52,7 +52,7 @@
 	}
 	addr := netip.MustParseAddrPort(listener.Addr().String())
 	for b.Loop() {
-		if _, err := statesync.FetchMembers(context.Background(), dial, addr); err != nil {
+		if _, _, err := statesync.FetchMembers(context.Background(), dial, addr); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/statesync/exchange.go
+++ b/internal/statesync/exchange.go
@@ -40,14 +40,16 @@
 type response struct {
 	State   route.State    `msgpack:"state"`
 	Members []fleet.Member `msgpack:"members"`
+	// DeadAges are the times since the deaths of the dead members in Members. Earlier releases state none.
+	DeadAges []fleet.DeadAge `msgpack:"dead_ages"`
 }
 
 // Source provides what a process serves to others. Its methods are called concurrently.
 type Source interface {
 	// Table returns the active desired state, or nil.
 	Table() *route.Table
-	// Members returns all member records.
-	Members() []fleet.Member
+	// Members returns all member records, and the times since the deaths of the dead members among them.
+	Members() ([]fleet.Member, []fleet.DeadAge)
 }
 
 // Dial connects to a TCP address written as IP:port.
@@ -60,10 +62,11 @@
 	return resp.State, err
 }
 
-// FetchMembers requests the member table of the process at addr. Errors are of kind Unavailable.
-func FetchMembers(ctx context.Context, dial Dial, addr netip.AddrPort) ([]fleet.Member, error) {
+// FetchMembers requests the member table of the process at addr, with the times since the deaths of the dead members in
+// it. Errors are of kind Unavailable.
+func FetchMembers(ctx context.Context, dial Dial, addr netip.AddrPort) ([]fleet.Member, []fleet.DeadAge, error) {
 	resp, err := exchange(ctx, dial, addr, request{Members: true})
-	return resp.Members, err
+	return resp.Members, resp.DeadAges, err
 }
 
 func exchange(ctx context.Context, dial Dial, addr netip.AddrPort, req request) (response, error) {
@@ -122,7 +125,7 @@
 	}
 	var resp response
 	if req.Members {
-		resp.Members = source.Members()
+		resp.Members, resp.DeadAges = source.Members()
 	} else if t := source.Table(); t.Version() > req.Have {
 		resp.State = t.State()
 	}
--- a/internal/statesync/foreign_test.go
+++ b/internal/statesync/foreign_test.go
@@ -63,7 +63,7 @@
 	}()
 	addr := netip.MustParseAddrPort(listener.Addr().String())
 	growth := memoryGrowth(func() {
-		_, err = statesync.FetchMembers(context.Background(), network.System{}.DialTCP, addr)
+		_, _, err = statesync.FetchMembers(context.Background(), network.System{}.DialTCP, addr)
 	})
 	is.True(errkind.Is(err, errkind.Unavailable))
 	is.True(growth < maxMemoryGrowth)
--- a/internal/statesync/statesync_test.go
+++ b/internal/statesync/statesync_test.go
@@ -113,8 +113,11 @@
 	members []fleet.Member
 }
 
-func (s tableSource) Table() *route.Table     { return s.table }
-func (s tableSource) Members() []fleet.Member { return s.members }
+func (s tableSource) Table() *route.Table { return s.table }
+
+func (s tableSource) Members() ([]fleet.Member, []fleet.DeadAge) {
+	return s.members, []fleet.DeadAge{{Addr: netip.MustParseAddrPort("10.0.0.2:7000"), AgeMS: 700}}
+}
 
 func TestFetch(t *testing.T) {
 	is := is.New(t)
@@ -138,9 +141,10 @@
 	state, err = statesync.Fetch(context.Background(), network.System{}.DialTCP, addr, 7)
 	is.NoErr(err)
 	is.Equal(state.Version, uint64(0)) // no newer state
-	got, err := statesync.FetchMembers(context.Background(), network.System{}.DialTCP, addr)
+	got, ages, err := statesync.FetchMembers(context.Background(), network.System{}.DialTCP, addr)
 	is.NoErr(err)
 	is.Equal(got, members)
+	is.Equal(ages, []fleet.DeadAge{{Addr: members[1].Addr, AgeMS: 700}})
 
 	is.NoErr(listener.Close())
 	<-done
