--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -71,7 +71,7 @@
 	return payload, nil
 }
 
-// messageLimits bound the shape of a datagram. They leave room for fields that later releases add.
+// messageLimits bound the shape of a datagram.
 var messageLimits = msgshape.Limits{Depth: 8, Length: 64, Elements: 2048}
 
 func decode(payload []byte) (*message, error) {
--- a/internal/fleet/validate.go
+++ b/internal/fleet/validate.go
@@ -2,9 +2,9 @@
 
 import (
 	"fmt"
-	"net/netip"
 
 	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/network"
 )
 
 // Ranges of the fields of a member record.
@@ -21,7 +21,7 @@
 // field comes from another program. It must not enter the table, from which it would spread to all members.
 func (m *Member) Validate() error {
 	switch {
-	case !isMemberAddr(m.Addr):
+	case !network.IsInstanceAddr(m.Addr): // the hash ring relies on IPv4 addresses
 		return invalidRecord("address", m.Addr)
 	case m.Role != Balancer && m.Role != Agent:
 		return invalidRecord("role", uint8(m.Role))
@@ -49,12 +49,6 @@
 	return nil
 }
 
-// isMemberAddr reports whether a process can be reached at a: other packages rely on IPv4 addresses.
-func isMemberAddr(a netip.AddrPort) bool {
-	ip := a.Addr()
-	return ip.Is4() && !ip.IsUnspecified() && !ip.IsMulticast() && a.Port() != 0
-}
-
 func invalidRecord(field string, value any) error {
 	return errkind.New(errkind.Invalid, fmt.Sprintf("member record has a %s out of range: %v", field, value),
 		"check which program sends it, and that all processes run the same release")
--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -21,6 +21,13 @@
 	DialTCP(ctx context.Context, address string) (net.Conn, error)
 }
 
+// IsInstanceAddr reports whether a process on an instance can be reached at a: it is the IPv4 address of one host, with a
+// port.
+func IsInstanceAddr(a netip.AddrPort) bool {
+	ip := a.Addr()
+	return ip.Is4() && !ip.IsUnspecified() && !ip.IsMulticast() && a.Port() != 0
+}
+
 // System is the operating system's network.
 type System struct{}
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -27,6 +27,7 @@
 	"time"
 
 	"github.com/almondledge/almondledge/internal/errkind"
+	"github.com/almondledge/almondledge/internal/network"
 	"github.com/almondledge/almondledge/internal/store"
 )
 
@@ -117,8 +118,7 @@
 	if !isPlaceKey(entry.Key) || json.Unmarshal(entry.Value, &value) != nil {
 		return netip.AddrPort{}, false
 	}
-	ip := value.Address.Addr()
-	return value.Address, ip.Is4() && !ip.IsUnspecified() && !ip.IsMulticast() && value.Address.Port() != 0
+	return value.Address, network.IsInstanceAddr(value.Address)
 }
 
 // isPlaceKey reports whether a key is that of a place in the roster of some data centre.
