Reports with a warm-up out of range are refused

A backend server with a warm-up of 49 days, the most that the decoder takes, counted as slow until its next report. Evidence: two new cases of TestReportsWithNumbersOutOfRange failed on the commit before and pass.

--- a/internal/flowagent/report.go
+++ b/internal/flowagent/report.go
@@ -63,6 +63,8 @@
 	// maxClockStep is how far the start time of a backend server may lie in the future, because the clock of the
 	// instance was set back after the start.
 	maxClockStep = 24 * time.Hour
+	// maxWarmup is the longest time that a backend server may be slow after its start.
+	maxWarmup = 24 * time.Hour
 	// minReportInterval is the least mean interval of the reports of one incarnation, and sequenceMargin is by how
 	// much sequence numbers may be ahead of it.
 	minReportInterval = time.Millisecond
@@ -131,6 +133,8 @@
 	switch {
 	case report.Slots == 0:
 		return outOfRange("slots", int64(report.Slots))
+	case report.WarmupLeft < 0 || report.WarmupLeft > maxWarmup:
+		return outOfRange("remaining warm-up in milliseconds", report.WarmupLeft.Milliseconds())
 	case report.StartMillis <= 0 || report.StartMillis > now.Add(maxClockStep).UnixMilli():
 		return outOfRange("start time in Unix milliseconds", report.StartMillis)
 	case report.Sequence < 0 || report.Sequence > r.maxSequence(now, report.StartMillis):
--- a/internal/flowagent/report_test.go
+++ b/internal/flowagent/report_test.go
@@ -70,6 +70,8 @@
 		{"a start far in the future", func(r *flowagent.Report) { r.Sequence, r.StartMillis = 51, at.Add(48*time.Hour).UnixMilli() }},
 		{"the largest start", func(r *flowagent.Report) { r.Sequence, r.StartMillis = 51, math.MaxInt64 }},
 		{"no start", func(r *flowagent.Report) { r.Sequence, r.StartMillis = 51, 0 }},
+		{"a warm-up of a month", func(r *flowagent.Report) { r.Sequence, r.WarmupLeft = 51, 30*24*time.Hour }},
+		{"a negative warm-up", func(r *flowagent.Report) { r.Sequence, r.WarmupLeft = 51, -time.Second }},
 		{"no slots", func(r *flowagent.Report) { r.Sequence, r.Slots = 51, 0 }},
 	}
 	for _, test := range tests {
