A lost response of the store does not end the roster

After one response of the store that was lost, the balancer waited for ever and left the roster for good. Change: each call ends after five seconds, and the holder goes on as after any failed call.

--- a/internal/roster/run.go
+++ b/internal/roster/run.go
@@ -13,8 +13,12 @@
 	"github.com/almondledge/almondledge/internal/store"
 )
 
-// revokeTimeout bounds the call that revokes the lease of a place.
-const revokeTimeout = 2 * time.Second
+const (
+	// callTimeout bounds one call of the store, which does not return if the response is lost.
+	callTimeout = 5 * time.Second
+	// revokeTimeout bounds the call that revokes the lease of a place, also when the process stops.
+	revokeTimeout = 2 * time.Second
+)
 
 // Config configures Run.
 type Config struct {
@@ -76,8 +80,7 @@
 			r.holder.HandleRestore(time.Now())
 		}
 	case Read:
-		snapshot, err := r.Store.Range(ctx, rosterPrefix(r.DataCentre))
-		r.holder.HandleRead(time.Now(), snapshot, err, r.Random())
+		r.read(ctx)
 	case Claim:
 		r.claim(ctx)
 	case Renew:
@@ -85,7 +88,16 @@
 	}
 }
 
+func (r *runner) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	snapshot, err := r.Store.Range(ctx, rosterPrefix(r.DataCentre))
+	r.holder.HandleRead(time.Now(), snapshot, err, r.Random())
+}
+
 func (r *runner) renew(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	sent := time.Now()
 	err := r.Store.KeepAlive(ctx, r.holder.Lease)
 	if errkind.Is(err, errkind.NotFound) {
@@ -116,6 +128,8 @@
 	if err != nil {
 		return 0, false
 	}
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout) // for two calls
+	defer cancel()
 	lease, err = r.Store.Grant(ctx, LeaseTTL)
 	if err != nil {
 		return 0, false
