Only the agent's own instance sends the backend server's packets

The caller got a reset, and the agent forgot the flow. Cause: the sender of a datagram was not read. Change: datagrams from other addresses than those of the instance are dropped and counted. Evidence: TestPacketOfAnotherInstanceIsNotTheBackends failed on the code before and passes; a deliberate defect is caught.

--- a/internal/flowproc/agent.go
+++ b/internal/flowproc/agent.go
@@ -184,6 +184,10 @@
 		a.mu.Lock()
 		now := time.Now()
 		for i := range count {
+			if !a.isFromInstance(reader.From(i)) {
+				a.metrics.badDatagrams.Inc()
+				continue
+			}
 			a.execute(now, a.agent.HandleBackend(now, reader.Datagram(i)))
 			a.releaseQueued(now)
 		}
@@ -191,6 +195,12 @@
 	}
 }
 
+// isFromInstance reports whether a datagram comes from the agent's own instance. Only its backend server may send
+// packets to the agent, and only from there.
+func (a *Agent) isFromInstance(from netip.AddrPort) bool {
+	return from.Addr() == a.cfg.Backend.Addr() || from.Addr() == a.cfg.FromBackend.Addr()
+}
+
 // emptyQueue passes the opening packets that wait at this agent on to other agents.
 func (a *Agent) emptyQueue() {
 	a.mu.Lock()
--- a/internal/flowproc/foreign_test.go
+++ b/internal/flowproc/foreign_test.go
@@ -15,8 +15,10 @@
 
 	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/fleet"
+	"github.com/almondledge/almondledge/internal/flow"
 	"github.com/almondledge/almondledge/internal/hop"
 	"github.com/almondledge/almondledge/internal/roster"
+	"github.com/almondledge/almondledge/internal/standin/flows"
 	"github.com/almondledge/almondledge/internal/store"
 )
 
@@ -108,3 +110,24 @@
 		}
 	})
 }
+
+// Guards against packets of other programs at the address for the backend server's packets: a returned packet of an open
+// flow was taken for the backend server's word that it has lost the flow, and the caller got a reset.
+func TestPacketOfAnotherInstanceIsNotTheBackends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := deploy(t, 2, 1)
+		c := d.call(0, 1000)
+		other := d.read(c)
+		p, err := flows.Codec{}.Parse(other.Request("hello"))
+		is.NoErr(err)
+		p.Flags |= flow.Returned
+		odd := flows.Codec{}.Build(p, []byte("hello"))
+		d.net.Inject(netip.MustParseAddrPort("10.9.9.9:80"), netip.AddrPortFrom(agentAddr(0), fromBackendPort), odd)
+		time.Sleep(100 * time.Millisecond)
+		is.True(!d.read(c).Reset)
+		d.request(0, c)
+		is.Equal(len(d.read(c).Answers), 2)
+		is.Equal(value(d.scrape(agentAddr(0)), "almondledge_bad_datagrams_total"), "1")
+	})
+}
