Members speak and claim for themselves only

A message in the name of a living agent replaced its record at all others until it refuted it; a claim sent the packets of its flows to an agent that does not exist. Cause: the address that a datagram came from was not compared with the one that it states. Change: members send from their own addresses, so a datagram from another one is refused and counted as bad. The soak in the tests passes.

--- a/internal/fleet/foreign_test.go
+++ b/internal/fleet/foreign_test.go
@@ -154,3 +154,21 @@
 		}
 	}
 }
+
+// Guards against messages in the name of another member: each member sends its messages from its own address.
+func TestMessageInTheNameOfAnotherMemberIsRefused(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(3)
+	m.run(2 * time.Second)
+	fields := validMessage()
+	about := m.nodes[addrOf(1)].Self()
+	about.Revision, about.Backend.State = about.Revision+1, fleet.BackendGone
+	fields[fieldFrom] = about
+	for _, from := range []netip.AddrPort{addrOf(2), netip.MustParseAddrPort("10.9.9.9:7000"), netip.AddrPortFrom(addrOf(1).Addr(), 7001)} {
+		_, events, err := m.nodes[addrOf(0)].Handle(m.now, from, encodeFields(t, fields))
+		is.True(errkind.Is(err, errkind.Invalid))
+		is.Equal(len(events), 0)
+		member, _ := m.view(0, 1)
+		is.Equal(member.Backend.State, fleet.BackendReady)
+	}
+}
--- a/internal/fleet/handle.go
+++ b/internal/fleet/handle.go
@@ -3,13 +3,15 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/almondledge/almondledge/internal/errkind"
 )
 
 // relayLifetime is how long the state of an indirect probe for another member is kept.
 const relayLifetime = time.Second
 
-// Handle processes a datagram of another member. An error of kind Invalid means that the datagram could not
-// be decoded and changed nothing.
+// Handle processes a datagram of another member, which members send from their own addresses. An error of kind Invalid
+// means that the datagram could not be decoded, or comes from another address than it says, and changed nothing.
 func (n *Node) Handle(now time.Time, from netip.AddrPort, payload []byte) ([]Send, []Event, error) {
 	m, err := decode(payload)
 	if err != nil {
@@ -18,6 +20,10 @@
 	if m.From.Addr == n.self.Addr {
 		return nil, nil, nil // this member's own message, sent to an outdated address
 	}
+	if m.From.Addr != from {
+		return nil, nil, errkind.New(errkind.Invalid, "membership message of "+m.From.Addr.String()+" comes from "+from.String(),
+			"check which program sends it")
+	}
 	n.lastReceived = now
 	n.applyMessage(now, m)
 	n.checkTable(now, m)
--- a/internal/flowproc/agent.go
+++ b/internal/flowproc/agent.go
@@ -10,6 +10,7 @@
 
 	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/fleet"
+	"github.com/almondledge/almondledge/internal/flow"
 	"github.com/almondledge/almondledge/internal/flowagent"
 	"github.com/almondledge/almondledge/internal/hop"
 	"github.com/almondledge/almondledge/internal/route"
@@ -276,14 +277,14 @@
 		a.execute(now, a.agent.HandleForward(now, f))
 	case hop.TypeClaim:
 		c, err := hop.DecodeClaim(datagram)
-		if err != nil {
+		if err != nil || c.Owner != flow.EndpointOf(from) { // agents claim flows for themselves only
 			a.metrics.badDatagrams.Inc()
 			return
 		}
 		a.agent.HandleClaim(c)
 	case hop.TypeQuery:
 		q, err := hop.DecodeQuery(datagram)
-		if err != nil {
+		if err != nil || q.Home != flow.EndpointOf(from) {
 			a.metrics.badDatagrams.Inc()
 			return
 		}
--- a/internal/flowproc/foreign_test.go
+++ b/internal/flowproc/foreign_test.go
@@ -131,3 +131,29 @@
 		is.Equal(value(d.scrape(agentAddr(0)), "almondledge_bad_datagrams_total"), "1")
 	})
 }
+
+// Guards against ownership claims and queries in the name of another agent: packets of the flow went where the claim said.
+func TestClaimInTheNameOfAnotherAgentIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := deploy(t, 2, 3)
+		claim := hop.Claim{Owner: flow.Endpoint{IP: [4]byte{10, 8, 8, 8}, Port: peerPort}}
+		var open []*flows.Caller
+		for port := range uint16(20) {
+			c := d.call(0, 1000+port)
+			open, claim.Keys = append(open, c), append(claim.Keys, c.Key)
+		}
+		query := hop.Query{Key: claim.Keys[0], Home: claim.Owner}
+		for i := range 3 {
+			to := netip.AddrPortFrom(agentAddr(i), peerPort)
+			d.net.Inject(netip.MustParseAddrPort("10.9.9.9:7000"), to, claim.AppendTo(nil))
+			d.net.Inject(netip.MustParseAddrPort("10.9.9.9:7000"), to, query.AppendTo(nil))
+		}
+		time.Sleep(100 * time.Millisecond)
+		for _, c := range open {
+			d.request(1, c) // this balancer does not know the owner and asks a home agent
+			is.Equal(len(d.read(c).Answers), 2)
+		}
+		is.Equal(value(d.scrape(agentAddr(0)), "almondledge_bad_datagrams_total"), "2")
+	})
+}
