--- a/internal/statesync/foreign_test.go
+++ b/internal/statesync/foreign_test.go
@@ -9,10 +9,12 @@
 	"net"
 	"net/netip"
 	"runtime"
+	"runtime/metrics"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/network"
@@ -22,8 +24,9 @@
 const (
 	// maxMemoryGrowth is half of the memory limit of the smallest processes, in bytes.
 	maxMemoryGrowth = 76 << 20
-	// nestedBytes is the size of a nested message before its compression.
-	nestedBytes = 15 << 20
+	// nestedBytes is the size of a nested message before its compression. It is read well within the time limit of an
+	// exchange, and a recursion as deep takes several times maxMemoryGrowth.
+	nestedBytes = 2 << 20
 )
 
 // nestedMessage returns a map whose only value, under an unknown key, is nested as deep as its size allows.
@@ -31,13 +34,31 @@
 	return append([]byte{0x81, 0xa1, 'x'}, bytes.Repeat([]byte{0x91}, nestedBytes)...)
 }
 
-// memoryGrowth returns by how many bytes the memory that the process has obtained grows during f.
+// memoryInUse returns the memory of stacks and objects, in bytes.
+func memoryInUse() uint64 {
+	samples := []metrics.Sample{{Name: "/memory/classes/heap/stacks:bytes"}, {Name: "/memory/classes/heap/objects:bytes"}}
+	metrics.Read(samples)
+	return samples[0].Value.Uint64() + samples[1].Value.Uint64()
+}
+
+// memoryGrowth returns by how many bytes the memory in use grows at most during f.
 func memoryGrowth(f func()) uint64 {
-	var before, after runtime.MemStats
-	runtime.ReadMemStats(&before)
-	f()
-	runtime.ReadMemStats(&after)
-	return after.Sys - before.Sys
+	runtime.GC()
+	before := memoryInUse()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f()
+	}()
+	peak := before
+	for {
+		peak = max(peak, memoryInUse())
+		select {
+		case <-done:
+			return max(peak, memoryInUse()) - before
+		case <-time.After(time.Millisecond):
+		}
+	}
 }
 
 // Guards against deeply nested messages of other programs: unknown values were skipped recursively, on a stack of a
@@ -58,6 +79,8 @@
 		if err != nil {
 			return
 		}
+		// Closing a connection with unread bytes would reset it.
+		_, _ = msgpack.NewDecoder(conn).DecodeMap()
 		_, _ = conn.Write(packed.Bytes())
 		_ = conn.Close()
 	}()
