--- a/internal/fleet/foreign_test.go
+++ b/internal/fleet/foreign_test.go
@@ -124,10 +124,13 @@
 	return addrs
 }
 
-// A member refutes any record about itself that other members accept.
+// Guards against records about a member that it cannot refute: after the largest incarnation the next one was zero, so the
+// member refuted the record again and again, and all others took it for dead.
 func TestLargestRecordsAreRefuted(t *testing.T) {
 	const maxIncarnation, maxRevision = 1 << 53, 1 << 31
 	for _, record := range []fleet.Member{
+		{Incarnation: math.MaxUint64, Revision: 1},
+		{Incarnation: 0, Revision: math.MaxUint32},
 		{Incarnation: maxIncarnation - 1, Revision: maxRevision},
 		{Incarnation: maxIncarnation, Revision: 7},
 		{Incarnation: 0, Revision: maxRevision}, // the incarnation of the member itself
