The last log line is written before the end of a process

Traced: the goroutine of the log buffer finds it empty, then a line and the end come, and the select that follows chooses either; in the other case the line is lost, although Close promises to write the buffered lines. Change: after the end, the buffer is read once more.

--- a/internal/logring/logring.go
+++ b/internal/logring/logring.go
@@ -64,6 +64,12 @@
 	case line := <-r.lines:
 		return line, true
 	case <-r.closing:
+	}
+	// A line may have come in together with the end.
+	select {
+	case line := <-r.lines:
+		return line, true
+	default:
 		return nil, false
 	}
 }
--- a/internal/logring/logring_test.go
+++ b/internal/logring/logring_test.go
@@ -69,3 +69,18 @@
 		close(out.release)
 	})
 }
+
+// Guards against the loss of a line that is written just before Close: the goroutine found the buffer empty, and when it
+// then waited, the line and the end were both there; it chose either.
+func TestCloseWritesTheLastLine(t *testing.T) {
+	is := is.New(t)
+	const writers = 50_000 // the window is some nanoseconds wide
+	for range writers {
+		var out bytes.Buffer
+		ring := logring.New(&out)
+		_, err := ring.Write([]byte("last\n"))
+		is.NoErr(err)
+		ring.Close(10 * time.Second)
+		is.Equal(out.String(), "last\n")
+	}
+}
