The test of a late claim reaches the store again

Found while checking that no check was eased: the time limit of the roster's calls cancelled the delayed claim of TestPausedClaimTakesNoOccupiedPlace, and the delayed renewal beside it, before they reached the store.

--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -31,7 +31,8 @@
 }
 
 // pausingStore delays a renewal or a claim, to simulate a balancer that is frozen
-// just before the call.
+// just before the call. The store executes the call all the same, also if its caller
+// has given it up meanwhile.
 type pausingStore struct {
 	store.Store
 	renewal, claim chan time.Duration
@@ -48,7 +49,7 @@
 // KeepAlive implements store.Store.
 func (p *pausingStore) KeepAlive(ctx context.Context, id store.LeaseID) error {
 	freezeIfSignalled(p.renewal)
-	return p.Store.KeepAlive(ctx, id)
+	return p.Store.KeepAlive(context.WithoutCancel(ctx), id)
 }
 
 // Commit implements store.Store.
@@ -57,7 +58,7 @@
 	if p.claim != nil {
 		txn.Puts[0].Lease = 0 // the strictest case: the store cannot refuse the claim for its expired lease
 	}
-	return p.Store.Commit(ctx, txn)
+	return p.Store.Commit(context.WithoutCancel(ctx), txn)
 }
 
 func (d *deployment) newStore() store.Store {
