--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"sync"
 	"time"
 )
 
@@ -122,3 +123,42 @@
 	t.end()
 	return judge(w, t, before, back)
 }
+
+// agentsRolled: all processes of front machines are killed at once, and one of them comes back. More than a minute
+// later, when all that is over, the agents are stopped and started in turn, two at a time and twice each, as
+// planned work.
+func agentsRolled(w *world) verdict {
+	fronts, sides, seeds := w.deployment()
+	for i, zone := range zones {
+		m := w.machine("agent", "side-"+zone+"-2", zone, service, i+1, 22)
+		m.start(true, seeds)
+		m.startHost()
+		sides = append(sides, m)
+	}
+	time.Sleep(5 * time.Second)
+	if w.trouble {
+		for _, m := range fronts {
+			m.kill()
+		}
+		time.Sleep(time.Second)
+		fronts[3].start(false, seeds)
+	}
+	time.Sleep(55 * time.Second)
+	flows := w.startFlows(20, time.Now().Add(47*time.Second))
+	time.Sleep(10 * time.Second)
+	w.rec.log("roster: %v", w.store.contents("/almondledge/"))
+	var group sync.WaitGroup
+	for half := range 2 {
+		group.Go(func() {
+			for range 2 {
+				for _, m := range sides[4*half : 4*half+4] {
+					m.roll(700*time.Millisecond, seeds)
+					time.Sleep(1200 * time.Millisecond)
+				}
+			}
+		})
+		time.Sleep(900 * time.Millisecond)
+	}
+	group.Wait()
+	return flows.judge(w)
+}
--- a/review/rig/host.go
+++ b/review/rig/host.go
@@ -84,6 +84,14 @@
 	_ = h.http.Close()
 }
 
+// holds reports whether a flow is open at the host.
+func (h *host) holds(key flowKey) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f := h.flows[key]
+	return f != nil && f.open
+}
+
 func (h *host) health(w http.ResponseWriter, _ *http.Request) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -214,7 +222,7 @@
 	if h.ended {
 		return
 	}
-	a := &packet{src: key.service, dst: key.client, flags: flagACK, seq: f.next, ack: f.expected, data: []byte("200 " + request)}
+	a := &packet{src: key.service, dst: key.client, flags: flagACK, seq: f.next, ack: f.expected, data: []byte(answerTo(request))}
 	f.next += uint32(len(a.data))
 	f.answer, f.tries = a, 0
 	h.transmit(key, f, a, retryFirst)
--- a/review/rig/machine.go
+++ b/review/rig/machine.go
@@ -102,6 +102,16 @@
 	m.w.rec.log("%s: process killed", m.name)
 }
 
+// roll stops the process as planned work does and starts it again after a short delay.
+func (m *machine) roll(delay time.Duration, seeds []netip.AddrPort) {
+	m.w.rec.log("%s: SIGTERM", m.name)
+	m.signal(syscall.SIGTERM)
+	m.wait()
+	m.w.rec.log("%s: process has ended", m.name)
+	time.Sleep(delay)
+	m.start(false, seeds)
+}
+
 func (m *machine) wait() {
 	m.mu.Lock()
 	done := m.done
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(*world) verdict{
 	"fronts-replaced": frontsReplaced,
 	"all-killed":      allKilled,
+	"agents-rolled":   agentsRolled,
 }
 
 func main() {
--- a/review/rig/traffic.go
+++ b/review/rig/traffic.go
@@ -1,6 +1,9 @@
 package main
 
 import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -67,3 +70,67 @@
 	}
 	return answered, all
 }
+
+// flowGroup is a group of clients that keep flows open.
+type flowGroup struct {
+	mu     sync.Mutex
+	opened int
+	resets []string
+	group  sync.WaitGroup
+}
+
+// startFlows lets each client keep so many flows open until the given time. A flow that fails is opened again.
+func (w *world) startFlows(count int, until time.Time) *flowGroup {
+	g := &flowGroup{}
+	for _, c := range w.clients {
+		for range count {
+			g.group.Go(func() {
+				base := 200*time.Millisecond + rand.N(2*time.Second)
+				time.Sleep(rand.N(3 * time.Second))
+				for time.Now().Before(until) {
+					key, outcome, answers := c.keepFlow(w.serviceAddr(), until, func() time.Duration { return base + rand.N(time.Second) })
+					g.ended(w, key, outcome, answers)
+				}
+			})
+		}
+	}
+	return g
+}
+
+func (g *flowGroup) ended(w *world, key flowKey, outcome string, answers int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if answers > 0 {
+		g.opened++
+	}
+	if outcome == "ok" {
+		return
+	}
+	w.rec.log("client %v: flow ended after %d answers: %s", key.client, answers, outcome)
+	if holder := w.holder(key); outcome == resetOfOpenFlow && holder != "" {
+		w.rec.log("%s lives and holds the flow of client %v", holder, key.client)
+		g.resets = append(g.resets, key.client.String())
+	}
+	if answers == 0 {
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// holder returns the name of the host at which a flow is open, or "".
+func (w *world) holder(key flowKey) string {
+	for _, m := range w.machines {
+		if m.host != nil && m.host.holds(key) {
+			return m.host.name
+		}
+	}
+	return ""
+}
+
+// judge applies the rule FLOW (a): no host has sent a reset, and all hosts live from the begin to the end.
+func (g *flowGroup) judge(w *world) verdict {
+	g.group.Wait()
+	if g.opened == 0 {
+		w.cannotRun(errors.New("no flow was open"))
+	}
+	return verdict{len(g.resets) > 0, fmt.Sprintf("%d flows were open, %d of them got a reset that their host did not send", g.opened, len(g.resets))}
+}
