--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")" || exit 2
 root=$(cd ../.. && pwd) || exit 2
 [ -x "$root/target/almondledge" ] && [ -x "$root/target/review-3/rig" ] || { echo "build first"; exit 2; }
-exec "$root/target/review-3/rig" "$root" "$PWD" all-killed
+exec "$root/target/review-3/rig" "$root" "$PWD" fronts-replaced
