--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -14,6 +14,9 @@
 
 const service = "rezervasyon"
 
+// restartDelay is the time from the end of a process to its next start, as in the bench.
+const restartDelay = 550 * time.Millisecond
+
 // serviceAddr is the address of the one route.
 func (w *world) serviceAddr() netip.AddrPort { return netip.MustParseAddrPort("127.73.0.1:443") }
 
@@ -125,10 +128,9 @@
 	return judge(w, t, before, back)
 }
 
-// agentsRolled: all processes of front machines are killed at once, and one of them comes back. More than a minute
-// later, when all that is over, the agents are stopped and started in turn, two at a time and twice each, as
-// planned work.
-func agentsRolled(w *world) verdict {
+// plannedRoll: planned work only. In each round the front machine that is no seed is stopped and started, soon after it
+// the other three, and the agents while those three are away.
+func plannedRoll(w *world) verdict {
 	fronts, sides, seeds := w.deployment(zones)
 	for i, zone := range zones {
 		m := w.machine("agent", "side-"+zone+"-2", zone, service, i+1, 22)
@@ -136,30 +138,26 @@
 		m.startHost()
 		sides = append(sides, m)
 	}
-	time.Sleep(5 * time.Second)
-	if w.trouble {
-		for _, m := range fronts {
-			m.kill()
+	flows := w.startFlows(25, time.Now().Add(106*time.Second))
+	time.Sleep(8 * time.Second)
+	for round := 0; round < 13 && w.trouble; round++ {
+		w.rec.log("round %d; roster: %v", round, w.store.contents("/almondledge/"))
+		var group sync.WaitGroup
+		rollAfter := func(delay time.Duration, m *machine) {
+			group.Go(func() {
+				time.Sleep(delay)
+				m.roll(restartDelay, seeds)
+			})
 		}
-		time.Sleep(time.Second)
-		fronts[3].start(false, seeds)
-	}
-	time.Sleep(55 * time.Second)
-	flows := w.startFlows(20, time.Now().Add(47*time.Second))
-	time.Sleep(10 * time.Second)
-	w.rec.log("roster: %v", w.store.contents("/almondledge/"))
-	var group sync.WaitGroup
-	for half := range 2 {
-		group.Go(func() {
-			for range 2 {
-				for _, m := range sides[4*half : 4*half+4] {
-					m.roll(700*time.Millisecond, seeds)
-					time.Sleep(1200 * time.Millisecond)
-				}
-			}
-		})
-		time.Sleep(900 * time.Millisecond)
+		rollAfter(0, fronts[3])
+		for _, m := range fronts[:3] {
+			rollAfter(800*time.Millisecond, m)
+		}
+		for i, m := range sides {
+			rollAfter(2020*time.Millisecond+time.Duration(i)*12*time.Millisecond, m)
+		}
+		group.Wait()
+		time.Sleep(3500 * time.Millisecond)
 	}
-	group.Wait()
 	return flows.judge(w)
 }
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -18,7 +18,7 @@
 var cases = map[string]func(*world) verdict{
 	"fronts-replaced": frontsReplaced,
 	"all-killed":      allKilled,
-	"agents-rolled":   agentsRolled,
+	"planned-roll":    plannedRoll,
 }
 
 func main() {
--- a/review/rig/traffic.go
+++ b/review/rig/traffic.go
@@ -79,6 +79,9 @@
 	group  sync.WaitGroup
 }
 
+// flowLife is shorter than flow_max_s (60 s).
+const flowLife = 45 * time.Second
+
 // startFlows lets each client keep so many flows open until the given time. A flow that fails is opened again.
 func (w *world) startFlows(count int, until time.Time) *flowGroup {
 	g := &flowGroup{}
@@ -88,7 +91,11 @@
 				base := 200*time.Millisecond + rand.N(2*time.Second)
 				time.Sleep(rand.N(3 * time.Second))
 				for time.Now().Before(until) {
-					key, outcome, answers := c.keepFlow(w.serviceAddr(), until, func() time.Duration { return base + rand.N(time.Second) })
+					end := time.Now().Add(flowLife)
+					if end.After(until) {
+						end = until
+					}
+					key, outcome, answers := c.keepFlow(w.serviceAddr(), end, func() time.Duration { return base + rand.N(time.Second) })
 					g.ended(w, key, outcome, answers)
 				}
 			})
