--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -55,6 +55,10 @@
 	// maxIntroductions bounds the members to which a joining process introduces itself directly; all other
 	// members learn of it by gossip.
 	maxIntroductions = 96
+	// maxContacts bounds the members to contact besides the seeds, contactsPerPeriod those that are asked for their
+	// tables at a time.
+	maxContacts       = 64
+	contactsPerPeriod = 8
 	// localShare is the share of probes and updates that stay in the local data centre.
 	localShare = 0.7
 	// doublingsPerRepeat bounds the repeats of an update in probes: one more repeat per doublingsPerRepeat
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -20,7 +20,9 @@
 	order []netip.AddrPort
 	// down nodes neither run nor receive; cut reports whether a link drops all datagrams.
 	down map[netip.AddrPort]bool
-	cut  func(from, to netip.AddrPort) bool
+	// seeds are the seeds of nodes that start.
+	seeds []netip.AddrPort
+	cut   func(from, to netip.AddrPort) bool
 	// loss is the share of datagrams that is dropped.
 	loss  float64
 	queue []datagram
@@ -43,6 +45,7 @@
 		nodes:  map[netip.AddrPort]*fleet.Node{},
 		down:   map[netip.AddrPort]bool{},
 		sentBy: map[netip.AddrPort]int{},
+		seeds:  []netip.AddrPort{addrOf(0), addrOf(1), addrOf(2)},
 		cut:    func(_, _ netip.AddrPort) bool { return false },
 	}
 	for i := range count {
@@ -55,7 +58,7 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
 }
 
-// add starts node i with nodes 0 to 2 as seeds.
+// add starts node i.
 func (m *mesh) add(i int) {
 	role := fleet.Agent
 	if i%3 == 0 {
@@ -74,7 +77,7 @@
 	}
 	m.nodes[self.Addr] = fleet.New(m.now, fleet.Config{
 		Self:    self,
-		Seeds:   []netip.AddrPort{addrOf(0), addrOf(1), addrOf(2)},
+		Seeds:   m.seeds,
 		Rand:    m.rand,
 		Version: func() (uint64, time.Duration) { return 1, 0 },
 		Load:    func() fleet.Load { return fleet.Load{} },
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -28,8 +28,10 @@
 	// expiring holds the members that are not alive; each of their states has a timeout.
 	expiring map[netip.AddrPort]*tableEntry
 	// recent lists the members whose records changed last, the newest at the end.
-	recent   []netip.AddrPort
-	probes   map[uint32]*probe
+	recent []netip.AddrPort
+	probes map[uint32]*probe
+	// contacts are members to contact besides the seeds, the most recently added ones first.
+	contacts []netip.AddrPort
 	relays   map[uint32]relay
 	sequence uint32
 	joined   bool
@@ -125,17 +127,14 @@
 // SetLoad replaces the function that returns this member's load.
 func (n *Node) SetLoad(load func() Load) { n.cfg.Load = load }
 
-// AddSeeds adds members to contact, such as those listed in the platform's store. If no seed has
-// answered yet, they are contacted with the next tick.
-func (n *Node) AddSeeds(seeds []netip.AddrPort) {
-	if !n.joined {
-		n.nextJoin = time.Time{}
-	}
-	for _, seed := range seeds {
-		if seed != n.self.Addr && !slices.Contains(n.cfg.Seeds, seed) {
-			n.cfg.Seeds = append(slices.Clone(n.cfg.Seeds), seed)
-		}
-	}
+// AddContacts adds members to contact besides the seeds, such as those listed in the platform's store. Those that are not
+// considered alive are contacted from the next tick on. The members that were added last replace the earliest ones.
+func (n *Node) AddContacts(contacts []netip.AddrPort) {
+	earlier := slices.DeleteFunc(n.contacts, func(a netip.AddrPort) bool { return slices.Contains(contacts, a) })
+	n.contacts = slices.Concat(contacts, earlier)
+	n.contacts = slices.DeleteFunc(n.contacts, func(a netip.AddrPort) bool { return a == n.self.Addr })
+	n.contacts = n.contacts[:min(len(n.contacts), maxContacts)]
+	n.nextJoin = time.Time{}
 }
 
 // SetSeeds replaces the seeds after a change of the settings.
@@ -146,6 +145,18 @@
 	return len(n.table) > 1 && now.Sub(n.lastReceived) >= isolationTimeout
 }
 
+// AliveCount returns the number of members that are alive, this member included.
+func (n *Node) AliveCount() int { return len(n.table) - len(n.expiring) }
+
+// Liveness returns the liveness of a member, or false if the member is unknown.
+func (n *Node) Liveness(a netip.AddrPort) (Liveness, bool) {
+	r := n.table[a]
+	if r == nil {
+		return 0, false
+	}
+	return r.Liveness, true
+}
+
 // Joined reports whether another member has answered with its table.
 func (n *Node) Joined() bool { return n.joined }
 
--- a/internal/fleet/probe.go
+++ b/internal/fleet/probe.go
@@ -114,8 +114,8 @@
 	}
 }
 
-// contactSeeds asks the seeds for their tables, every joinPeriod until one has answered. After that,
-// every rejoinPeriod, it asks only the seeds that are not considered alive and one dead member.
+// contactSeeds asks the seeds and some contacts for their tables, every joinPeriod until one has answered. After that,
+// every rejoinPeriod, it asks only those that are not considered alive and one dead member.
 func (n *Node) contactSeeds(now time.Time) {
 	period := joinPeriod
 	if n.joined {
@@ -124,18 +124,28 @@
 	n.nextJoin = now.Add(period)
 	m := n.message(typeTable)
 	m.WantTable = true
-	for _, seed := range n.cfg.Seeds {
-		r := n.table[seed]
-		if seed == n.self.Addr || (n.joined && r != nil && r.Liveness < Suspect) {
-			continue
-		}
-		n.sendTo(m, seed)
-	}
+	n.sendTo(m, n.absent(n.cfg.Seeds)...)
+	contacts := n.absent(n.contacts)
+	n.cfg.Rand.Shuffle(len(contacts), func(i, j int) { contacts[i], contacts[j] = contacts[j], contacts[i] })
+	n.sendTo(m, contacts[:min(len(contacts), contactsPerPeriod)]...)
 	if n.joined {
 		n.contactDeadMember(m)
 	}
 }
 
+// absent returns the addresses of other members that are not considered alive: all of them before this node has joined.
+func (n *Node) absent(addrs []netip.AddrPort) []netip.AddrPort {
+	var absent []netip.AddrPort
+	for _, a := range addrs {
+		r := n.table[a]
+		if a == n.self.Addr || (n.joined && r != nil && r.Liveness < Suspect) {
+			continue
+		}
+		absent = append(absent, a)
+	}
+	return absent
+}
+
 // contactDeadMember asks one random dead member for its table, which brings the parts of a
 // deployment together again after a network partition.
 func (n *Node) contactDeadMember(m *message) {
--- a/internal/flowproc/calls.go
+++ b/internal/flowproc/calls.go
@@ -56,6 +56,19 @@
 	return state, position, err
 }
 
+// countedReader is a reader of rosters that counts its calls.
+type countedReader struct {
+	roster.Reader
+	calls storeCalls
+}
+
+func (r countedReader) Range(ctx context.Context, prefix string) (store.Snapshot, error) {
+	begun := time.Now()
+	snapshot, err := r.Reader.Range(ctx, prefix)
+	r.calls.record("discover", begun, err)
+	return snapshot, err
+}
+
 // countedRoster is a store of rosters that counts its calls.
 type countedRoster struct {
 	roster.Store
--- a/internal/flowproc/config.go
+++ b/internal/flowproc/config.go
@@ -76,6 +76,8 @@
 	States  StateSource
 	// Roster stores the addresses of balancers for first contact; if nil, only the seeds are used.
 	Roster roster.Store
+	// RosterReader reads the rosters for first contact; if nil, Roster does.
+	RosterReader roster.Reader
 	// Restored receives a value when the store was restored from an earlier copy. It may be nil.
 	Restored <-chan struct{}
 	Log      log.Interface
--- a/internal/flowproc/contact.go
+++ b/internal/flowproc/contact.go
@@ -2,17 +2,15 @@
 
 import (
 	"context"
-	"errors"
+	"math/rand/v2"
+	"net/netip"
 	"time"
 
+	"github.com/almondledge/almondledge/internal/fleet"
 	"github.com/almondledge/almondledge/internal/roster"
 )
 
 const (
-	// rosterTimeout bounds one read of the rosters at the start.
-	rosterTimeout = time.Second
-	// rosterRetry is the pause after a failed read.
-	rosterRetry = 300 * time.Millisecond
 	// firstStartTime is how long a process waits for the seeds at the first start of a deployment, because
 	// the rosters are still empty.
 	firstStartTime = time.Second
@@ -21,43 +19,39 @@
 	rosterFirstCheck = 3 * time.Second
 )
 
-// contactRoster adds the balancers in the rosters to the seeds. The seeds may all be down, or start
-// later than this process; even after a loss of all processes the rosters still list the balancers
-// that ran before.
-func (c *core) contactRoster(ctx context.Context) {
+// discoverBalancers contacts the balancers in the rosters, as long as this process runs. The seeds may all be down, and
+// the members that this process knows may all end, or may be a part of the deployment only.
+func (c *core) discoverBalancers(ctx context.Context) {
 	if c.opt.Roster == nil {
 		return
 	}
+	cfg := roster.DiscoverConfig{
+		Reader: c.opt.RosterReader, DataCentre: roster.AllDataCentres, View: c.view, Found: c.contact,
+		Random: c.newRandom(), Log: c.opt.Log,
+	}
 	if c.cfg.FirstStart {
-		waitFor(ctx, firstStartTime)
-		if c.hasJoined() {
-			return
-		}
+		cfg.FirstRead = firstStartTime
 	}
-	for ctx.Err() == nil {
-		readCtx, cancel := context.WithTimeout(ctx, rosterTimeout)
-		contacts, err := roster.Contacts(readCtx, c.opt.Roster, roster.AllDataCentres, nil)
-		cancel()
-		c.mu.Lock()
-		c.node.AddSeeds(contacts)
-		c.mu.Unlock()
-		if errors.Is(err, roster.ErrDamaged) {
-			c.log.failure("roster has entries of another program; they are left out", err, fields{"contacts": len(contacts)})
-			return // reading them again would only load the store
-		}
-		if err == nil || c.hasJoined() {
-			c.log.event("roster read", fields{"contacts": len(contacts)})
-			return
-		}
-		waitFor(ctx, rosterRetry)
+	roster.Discover(ctx, cfg)
+}
+
+// view returns what this process knows of the other members.
+func (c *core) view() roster.View {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.node.Isolated(time.Now()) {
+		return roster.View{Members: 1}
 	}
+	members := c.node.AliveCount()
+	isBalancer := c.node.Self().Role == fleet.Balancer
+	return roster.View{Members: members, KnowsBalancer: len(c.balancers) > 0 && (!isBalancer || members > 1)}
 }
 
-// hasJoined reports whether another member has answered.
-func (c *core) hasJoined() bool {
+// contact adds the balancers of a roster to the members that are contacted while they are not known to be alive.
+func (c *core) contact(balancers []netip.AddrPort) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.node.Joined()
+	c.node.AddContacts(balancers)
 }
 
 // keepRosterEntry keeps this balancer in the roster of its data centre.
@@ -67,6 +61,14 @@
 	}
 	roster.Run(ctx, roster.Config{
 		Store: c.opt.Roster, DataCentre: c.cfg.DataCentre, Self: c.cfg.Peer,
-		FirstCheck: rosterFirstCheck, Restored: c.opt.Restored, Log: c.opt.Log,
+		FirstCheck: rosterFirstCheck, Restored: c.opt.Restored,
+		Random: c.newRandom(), Log: c.opt.Log,
 	})
 }
+
+// newRandom returns a source of random numbers in [0, 1) for one goroutine.
+func (c *core) newRandom() func() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return rand.New(rand.NewPCG(c.opt.Rand.Uint64(), c.opt.Rand.Uint64())).Float64
+}
--- a/internal/flowproc/core.go
+++ b/internal/flowproc/core.go
@@ -113,6 +113,10 @@
 	calls := storeCalls{set: c.metrics.telemetry.Set()}
 	c.opt.States = countedStates{StateSource: c.opt.States, calls: calls}
 	if c.opt.Roster != nil {
+		if c.opt.RosterReader == nil {
+			c.opt.RosterReader = c.opt.Roster
+		}
+		c.opt.RosterReader = countedReader{Reader: c.opt.RosterReader, calls: calls}
 		c.opt.Roster = countedRoster{Store: c.opt.Roster, calls: calls}
 	}
 }
@@ -128,7 +132,7 @@
 	})
 	group.Go(func() error { return c.tickLoop(ctx) })
 	group.Go(func() error {
-		c.contactRoster(ctx)
+		c.discoverBalancers(ctx)
 		return nil
 	})
 }
--- a/internal/flowproc/deployment_test.go
+++ b/internal/flowproc/deployment_test.go
@@ -101,11 +101,13 @@
 
 // deployment runs whole balancers and agents on a network in memory, inside a synctest bubble.
 type deployment struct {
-	t         *testing.T
-	ctx       context.Context
-	net       *memnet.Net
-	store     *stateStore
-	roster    roster.Store
+	t      *testing.T
+	ctx    context.Context
+	net    *memnet.Net
+	store  *stateStore
+	roster roster.Store
+	// seeds returns the seeds of a process.
+	seeds     func(addr netip.Addr) []netip.AddrPort
 	balancers []*process
 	agents    []*agentProcess
 	callers   map[flow.Key]*flows.Caller
@@ -156,13 +158,28 @@
 }
 
 func deployWithRoster(t *testing.T, st roster.Store, balancers, agents int) *deployment {
+	d := newDeployment(t, st)
+	d.run(balancers, agents)
+	return d
+}
+
+// newDeployment returns a deployment without any processes, whose seeds are the first two balancers.
+func newDeployment(t *testing.T, st roster.Store) *deployment {
 	d := &deployment{
 		t: t, net: memnet.New(1), store: &stateStore{}, roster: st, callers: map[flow.Key]*flows.Caller{}, logs: &lockedBuffer{},
 	}
-	ctx, stop := context.WithCancel(t.Context())
-	d.ctx = ctx
+	d.seeds = func(netip.Addr) []netip.AddrPort {
+		return []netip.AddrPort{netip.AddrPortFrom(balancerAddr(0), peerPort), netip.AddrPortFrom(balancerAddr(1), peerPort)}
+	}
 	d.net.SetLinks(func(_, _ netip.Addr) memnet.Link { return memnet.Link{Delay: 2 * time.Millisecond} })
 	d.store.set(stateFor(1))
+	return d
+}
+
+// run starts balancers and agents and waits for a minute.
+func (d *deployment) run(balancers, agents int) {
+	ctx, stop := context.WithCancel(d.t.Context())
+	d.ctx = ctx
 	for i := range balancers {
 		d.balancers = append(d.balancers, d.startBalancer(i))
 	}
@@ -177,7 +194,7 @@
 	}
 	d.net.Handle(ctx, callersAddr(), d.toCaller)
 	time.Sleep(time.Minute)
-	t.Cleanup(func() {
+	d.t.Cleanup(func() {
 		stop()
 		for _, b := range d.balancers {
 			<-b.done
@@ -186,7 +203,6 @@
 			<-a.done
 		}
 	})
-	return d
 }
 
 // stateFor returns a desired state that routes serviceAddr to service.
@@ -206,7 +222,7 @@
 func (d *deployment) common(addr netip.Addr) flowproc.Common {
 	return flowproc.Common{
 		Name: addr.String(), DataCentre: "dc1", Peer: netip.AddrPortFrom(addr, peerPort), CallerPort: callerPort,
-		Seeds:        []netip.AddrPort{netip.AddrPortFrom(balancerAddr(0), peerPort), netip.AddrPortFrom(balancerAddr(1), peerPort)},
+		Seeds:        d.seeds(addr),
 		FlowLifetime: time.Minute, Metrics: netip.AddrPortFrom(addr, metricsPort),
 	}
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -8,9 +8,10 @@
 // replace the balancer that has taken its place: it detects the expiry and searches
 // for a free place again.
 //
-// Processes take peers from the roster only when they start, and use the addresses
-// in the settings in any case, so they can start while the store is unavailable. A
-// balancer without a place reads the roster every CheckInterval, at random times.
+// Processes use the addresses in the settings in any case, so they can start while
+// the store is unavailable. They read the rosters as long as they run (Discover):
+// those that know each other share one read per restPeriod, a process that knows
+// none reads more often. A balancer without a place reads the roster every CheckInterval, at random times.
 // This limits the load to one read per balancer and CheckInterval, and twelve
 // renewals per place and LeaseTTL.
 package roster
@@ -67,9 +68,14 @@
 	return fmt.Sprintf("%s%d", rosterPrefix(dataCentre), place)
 }
 
-// Store is the part of store.Store that a roster uses.
-type Store interface {
+// Reader reads rosters to find balancers. The result may be some seconds old.
+type Reader interface {
 	Range(ctx context.Context, prefix string) (store.Snapshot, error)
+}
+
+// Store is the part of store.Store that a roster uses. Its reads return the newest state.
+type Store interface {
+	Reader
 	Commit(ctx context.Context, txn store.Txn) (store.TxnResult, error)
 	Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error)
 	KeepAlive(ctx context.Context, id store.LeaseID) error
@@ -87,7 +93,7 @@
 // the roster cannot be read, it returns an error together with the addresses in
 // the settings; if an entry is damaged, an error with the cause ErrDamaged together
 // with all other addresses.
-func Contacts(ctx context.Context, st Store, dataCentre string, settings []netip.AddrPort) ([]netip.AddrPort, error) {
+func Contacts(ctx context.Context, st Reader, dataCentre string, settings []netip.AddrPort) ([]netip.AddrPort, error) {
 	contacts := slices.Clone(settings)
 	prefix, limit := rosterPrefix(dataCentre), len(settings)+Places
 	if dataCentre == AllDataCentres {
