--- a/internal/flowproc/contact.go
+++ b/internal/flowproc/contact.go
@@ -61,7 +61,7 @@
 	}
 	roster.Run(ctx, roster.Config{
 		Store: c.opt.Roster, DataCentre: c.cfg.DataCentre, Self: c.cfg.Peer,
-		FirstCheck: rosterFirstCheck, Restored: c.opt.Restored,
+		FirstCheck: rosterFirstCheck, Alive: c.isAlive, Found: c.contact, Restored: c.opt.Restored,
 		Random: c.newRandom(), Log: c.opt.Log,
 	})
 }
@@ -72,3 +72,15 @@
 	defer c.mu.Unlock()
 	return rand.New(rand.NewPCG(c.opt.Rand.Uint64(), c.opt.Rand.Uint64())).Float64
 }
+
+// isAlive reports whether a balancer is alive as far as this process knows. A process that has lost all others at once
+// has no evidence against any of them.
+func (c *core) isAlive(balancer netip.AddrPort) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.node.Joined() && c.node.Isolated(time.Now()) {
+		return true
+	}
+	liveness, known := c.node.Liveness(balancer)
+	return known && liveness < fleet.Suspect
+}
--- a/internal/roster/discovery.go
+++ b/internal/roster/discovery.go
@@ -13,7 +13,7 @@
 	// groups that do not know each other meet after the next read of either.
 	restPeriod = 3 * time.Second
 	// searchPeriod is the time between two reads of a group that knows no balancer.
-	searchPeriod = time.Second
+	searchPeriod = 500 * time.Millisecond
 	// alonePauseMin and alonePauseMax bound the pause of a process that knows no other one. It doubles with each read, so
 	// that the processes of the largest planned deployment together stay below the rate of reads that the store serves.
 	alonePauseMin = 300 * time.Millisecond
--- a/internal/roster/holder.go
+++ b/internal/roster/holder.go
@@ -17,6 +17,8 @@
 	Wait Step = iota
 	// Read means to read the roster and call HandleRead.
 	Read
+	// Remove means to delete the entry of Place if its revision is still Revision, and call HandleRemove.
+	Remove
 	// Claim means to write the balancer's address to Place under a new lease and
 	// call HandleClaim.
 	Claim
@@ -24,6 +26,22 @@
 	Renew
 )
 
+const (
+	// verifyPeriod is the time between two reads by which a holder checks that its place still has its entry. A lease can
+	// be renewed although the entry is gone.
+	verifyPeriod = LeaseTTL
+	// retryMin is the mean pause after a failed call, which doubles with each failure up to one of two limits: retryMax if
+	// the store refuses reads or a removal or claim fails, outageRetryMax if the store does not respond or the balancer has
+	// held a place. The store serves that many reads of all balancers of the largest planned deployment.
+	retryMin       = 2 * time.Second
+	retryMax       = LeaseTTL
+	outageRetryMax = 5 * time.Second
+	// lostHolderDelay is how long the holders of all places must be away before a balancer removes the entry of one. It
+	// looks again up to lostHolderSpread later, so that not all balancers do so at once.
+	lostHolderDelay  = 2 * time.Second
+	lostHolderSpread = time.Second
+)
+
 // Holder is the state machine by which one balancer holds a place in the roster:
 // it decides when to read the roster, claim a place and renew its lease. It is not
 // safe for concurrent use. Random arguments are in [0, 1).
@@ -31,17 +49,29 @@
 	// DataCentre and Self identify the balancer.
 	DataCentre string
 	Self       netip.AddrPort
-	// Place is the place to claim, or the place that the balancer holds.
+	// Alive reports whether a balancer is alive as far as this one knows. Nil means that all are.
+	Alive func(netip.AddrPort) bool
+	// Place is the place to claim, the place whose entry is to be removed, or the place that the balancer holds.
 	Place int
+	// Revision is the revision of the entry to be removed.
+	Revision int64
 	// Lease is the lease of the held place, or zero if there is none.
 	Lease store.LeaseID
 
-	claimPending bool
+	// pending is Remove or Claim while that step is due, otherwise Wait.
+	pending Step
 	// checkPending is set while the place must be read again before its lease is renewed.
 	checkPending bool
-	// renewedAt is when the last successful claim or renewal was sent.
-	renewedAt time.Time
-	nextAt    time.Time
+	// hadPlace is set once the balancer has lost a place.
+	hadPlace bool
+	// readFailures counts the failed reads since the last successful one, claimFailures the failed removals and claims.
+	readFailures, claimFailures int
+	// lost are the entries of a roster whose holders are all away, since lostSince.
+	lost      []store.Entry
+	lostSince time.Time
+	// renewedAt is when the last successful claim or renewal was sent, verifiedAt when the place was last claimed or read.
+	renewedAt, verifiedAt time.Time
+	nextAt                time.Time
 }
 
 // NewHolder returns a Holder that first reads the roster at a random time within
@@ -58,14 +88,14 @@
 	switch {
 	case now.Before(h.nextAt):
 		return Wait, h.nextAt
-	case h.checkPending:
+	case h.checkPending, h.Lease == 0 && h.pending == Wait:
 		return Read, now
-	case h.Lease != 0:
-		return Renew, now
-	case h.claimPending:
-		return Claim, now
-	default:
+	case h.Lease == 0:
+		return h.pending, now
+	case now.Sub(h.verifiedAt) >= verifyPeriod:
 		return Read, now
+	default:
+		return Renew, now
 	}
 }
 
@@ -76,48 +106,99 @@
 	h.nextAt = now
 }
 
-// HandleRead handles the result of the step Read. It selects a random free place,
-// or schedules the next check if no place is free or the read failed. If the
-// balancer still holds its place after a restoration of the store, it renews the
-// lease at once.
+// HandleRead handles the result of the step Read. A balancer that still holds its place renews the lease at once. Otherwise
+// it selects a place, or schedules the next read.
 func (h *Holder) HandleRead(now time.Time, snapshot store.Snapshot, err error, random float64) {
-	if h.checkPending && err != nil {
-		h.nextAt = now.Add(LeaseTTL / retriesPerTTL)
+	if err != nil {
+		h.handleFailedRead(now, err, random)
 		return
 	}
-	wasCheck := h.checkPending
+	h.readFailures = 0
 	h.checkPending = false
-	if wasCheck && h.Lease != 0 {
-		if holdsPlace(h.DataCentre, h.Place, h.Self, snapshot) {
-			h.nextAt = now
-			return
-		}
+	h.verifiedAt = now
+	if h.Lease != 0 && holdsPlace(h.DataCentre, h.Place, h.Self, snapshot) {
+		h.nextAt = now
+		return
+	}
+	if h.Lease != 0 {
 		h.losePlace(now)
 	}
-	free := freePlaces(h.DataCentre, h.Self, snapshot)
+	h.selectPlace(now, snapshot, random)
+}
+
+func (h *Holder) handleFailedRead(now time.Time, err error, random float64) {
 	switch {
-	case wasCheck && len(free) == 0:
-		// An entry of the copy may be this balancer's own, without a lease that it can renew.
-		h.nextAt = now.Add(LeaseTTL)
-		return
-	case err != nil || len(free) == 0:
-		h.scheduleCheck(now, random)
-		return
+	case h.checkPending:
+		h.nextAt = now.Add(LeaseTTL / retriesPerTTL)
+	case h.Lease != 0:
+		// The lease is renewed all the same, and the place is read before the renewal after that.
+		h.verifiedAt = now.Add(LeaseTTL/renewalsPerTTL - verifyPeriod)
+		h.nextAt = now
+	default:
+		limit := outageRetryMax
+		if errkind.Is(err, errkind.Overloaded) {
+			limit = retryMax
+		}
+		h.scheduleRead(now, &h.readFailures, limit, random)
+	}
+}
+
+// selectPlace selects the place to claim: the one that has the entry of an earlier process at this address, a random free
+// one, or one whose holder is away if that holds for all.
+func (h *Holder) selectPlace(now time.Time, snapshot store.Snapshot, random float64) {
+	p := placesOf(h.DataCentre, h.Self, snapshot, h.Alive)
+	lost := h.lost
+	h.lost = nil
+	h.pending = Wait
+	switch {
+	case p.own != nil:
+		h.removeEntry(now, *p.own)
+	case len(p.free) > 0:
+		h.Place = p.free[int(random*float64(len(p.free)))]
+		h.pending = Claim
+		h.nextAt = now
+	case len(p.lost) == 0:
+		h.nextAt = now.Add(CheckInterval/2 + fraction(CheckInterval, random))
+	case p.holders > len(p.lost):
+		// The leases of those that are away will expire.
+		h.nextAt = now.Add(LeaseTTL/2 + fraction(LeaseTTL, random))
+	case sameEntries(lost, p.lost) && now.Sub(h.lostSince) >= lostHolderDelay:
+		h.removeEntry(now, p.lost[int(random*float64(len(p.lost)))])
+	default:
+		// No listed balancer can be reached, so no process finds any other one by this roster.
+		h.lost, h.lostSince = p.lost, now
+		h.nextAt = now.Add(lostHolderDelay + fraction(lostHolderSpread, random))
 	}
-	h.Place = free[int(random*float64(len(free)))]
-	h.claimPending = true
+}
+
+func (h *Holder) removeEntry(now time.Time, entry store.Entry) {
+	h.Place, h.Revision = placeOf(entry), entry.ModRevision
+	h.pending = Remove
 	h.nextAt = now
 }
 
+// HandleRemove handles the result of the step Remove. The argument removed must be true only if the store confirmed the
+// removal; the place is then claimed.
+func (h *Holder) HandleRemove(now time.Time, removed bool, random float64) {
+	h.pending = Claim
+	h.nextAt = now
+	if !removed {
+		h.pending = Wait
+		h.handleFailedClaim(now, random)
+	}
+}
+
 // HandleClaim handles the result of the step Claim. The argument won must be true only
 // if the store confirmed the claim.
 func (h *Holder) HandleClaim(now, sent time.Time, lease store.LeaseID, won bool, random float64) {
-	h.claimPending = false
+	h.pending = Wait
 	if !won {
-		h.scheduleCheck(now, random)
+		h.handleFailedClaim(now, random)
 		return
 	}
 	h.Lease = lease
+	h.claimFailures = 0
+	h.verifiedAt = sent
 	h.scheduleRenewal(sent)
 }
 
@@ -141,17 +222,27 @@
 	h.nextAt = sent.Add(LeaseTTL / renewalsPerTTL)
 }
 
-// losePlace gives up the place because its lease expired, and schedules a read of
-// the roster at once.
+// losePlace gives up the place because its lease expired or its entry is gone, and schedules a read of the roster at once.
 func (h *Holder) losePlace(now time.Time) {
 	h.Lease = 0
+	h.hadPlace = true
 	h.nextAt = now
 }
 
-// scheduleCheck schedules the next read of the roster after CheckInterval on
-// average.
-func (h *Holder) scheduleCheck(now time.Time, random float64) {
-	h.nextAt = now.Add(CheckInterval/2 + fraction(CheckInterval, random))
+func (h *Holder) handleFailedClaim(now time.Time, random float64) {
+	limit := retryMax
+	if h.hadPlace {
+		limit = outageRetryMax
+	}
+	h.scheduleRead(now, &h.claimFailures, limit, random)
+}
+
+// scheduleRead schedules the next read of the roster after a failed call, and counts the failure.
+func (h *Holder) scheduleRead(now time.Time, failures *int, limit time.Duration, random float64) {
+	const maxDoublings = 16 // more would overflow
+	pause := min(limit, retryMin<<min(*failures, maxDoublings))
+	*failures++
+	h.nextAt = now.Add(pause/2 + fraction(pause, random))
 }
 
 // fraction returns the share random of d.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -6,29 +6,26 @@
 // it only makes the balancer discoverable. A balancer takes a place only if its
 // key does not exist. So a balancer that was paused until its lease expired cannot
 // replace the balancer that has taken its place: it detects the expiry and searches
-// for a free place again.
+// for a free place again. An entry is removed before its lease expires in two cases:
+// a balancer that has restarted removes the entry of its earlier process and claims
+// the place again, and a balancer that finds all holders of the roster away removes
+// one of them.
 //
 // Processes use the addresses in the settings in any case, so they can start while
 // the store is unavailable. They read the rosters as long as they run (Discover):
 // those that know each other share one read per restPeriod, a process that knows
-// none reads more often. A balancer without a place reads the roster every CheckInterval, at random times.
-// This limits the load to one read per balancer and CheckInterval, and twelve
-// renewals per place and LeaseTTL.
+// none reads more often. A balancer without a place reads the roster of its data
+// centre every CheckInterval, and sooner if a holder is away or a call has failed. A
+// place costs one read and twelve renewals per LeaseTTL.
 package roster
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"net/netip"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
-	"github.com/almondledge/almondledge/internal/errkind"
-	"github.com/almondledge/almondledge/internal/network"
 	"github.com/almondledge/almondledge/internal/store"
 )
 
@@ -60,14 +57,6 @@
 	Address netip.AddrPort `json:"address"`
 }
 
-// rosterPrefix returns the prefix of the roster of a data centre.
-func rosterPrefix(dataCentre string) string { return Prefix + dataCentre + "/" }
-
-// placeKey returns the key of a place in the roster of a data centre.
-func placeKey(dataCentre string, place int) string {
-	return fmt.Sprintf("%s%d", rosterPrefix(dataCentre), place)
-}
-
 // Reader reads rosters to find balancers. The result may be some seconds old.
 type Reader interface {
 	Range(ctx context.Context, prefix string) (store.Snapshot, error)
@@ -103,61 +92,11 @@
 	if err != nil {
 		return contacts, err
 	}
-	for _, entry := range snapshot.Entries {
-		address, ok := holderOf(entry)
-		if !ok {
-			err = errkind.Wrap(ErrDamaged, errkind.Invalid, "the entry of key "+entry.Key+" is left out",
-				"find out which other program writes under "+Prefix)
-			continue
-		}
+	holders, err := holdersOf(snapshot)
+	for _, address := range holders {
 		if !slices.Contains(contacts, address) && len(contacts) < limit {
 			contacts = append(contacts, address)
 		}
 	}
 	return contacts, err
 }
-
-// holderOf returns the address of the balancer that holds the place of an entry. It returns false for an entry that no
-// balancer has written: one whose key is not that of a place, or whose value is damaged.
-func holderOf(entry store.Entry) (netip.AddrPort, bool) {
-	var value Entry
-	if !isPlaceKey(entry.Key) || json.Unmarshal(entry.Value, &value) != nil {
-		return netip.AddrPort{}, false
-	}
-	return value.Address, network.IsInstanceAddr(value.Address)
-}
-
-// isPlaceKey reports whether a key is that of a place in the roster of some data centre.
-func isPlaceKey(key string) bool {
-	rest, ok := strings.CutPrefix(key, Prefix)
-	dataCentre, number, found := strings.Cut(rest, "/")
-	place, err := strconv.Atoi(number)
-	return ok && found && err == nil && place >= 0 && place < Places && key == placeKey(dataCentre, place)
-}
-
-// holdsPlace reports whether a place is held by self.
-func holdsPlace(dataCentre string, place int, self netip.AddrPort, snapshot store.Snapshot) bool {
-	return slices.ContainsFunc(snapshot.Entries, func(entry store.Entry) bool {
-		holder, ok := holderOf(entry)
-		return ok && entry.Key == placeKey(dataCentre, place) && holder == self
-	})
-}
-
-// freePlaces returns the places that no balancer holds. It returns an empty list
-// if self already holds a place.
-func freePlaces(dataCentre string, self netip.AddrPort, snapshot store.Snapshot) []int {
-	taken := make(map[string]bool)
-	for _, entry := range snapshot.Entries {
-		taken[strings.TrimPrefix(entry.Key, rosterPrefix(dataCentre))] = true
-		if holder, ok := holderOf(entry); ok && holder == self {
-			return nil
-		}
-	}
-	var free []int
-	for place := range Places {
-		if !taken[fmt.Sprint(place)] {
-			free = append(free, place)
-		}
-	}
-	return free
-}
--- a/internal/roster/run.go
+++ b/internal/roster/run.go
@@ -29,6 +29,11 @@
 	// FirstCheck is the time within which the balancer first reads the roster. Zero
 	// means CheckInterval.
 	FirstCheck time.Duration
+	// Alive reports whether a balancer is alive as far as this one knows. Nil means that all are.
+	Alive func(netip.AddrPort) bool
+	// Found receives the addresses in the roster of the data centre after each read. They must be contacted, or Alive
+	// has no evidence. It may be nil.
+	Found func([]netip.AddrPort)
 	// Restored receives a value when the store was restored from an earlier copy. Nil
 	// means never.
 	Restored <-chan struct{}
@@ -58,6 +63,7 @@
 	}
 	now := time.Now()
 	r := &runner{Config: cfg, holder: NewHolder(cfg.DataCentre, cfg.Self, now, cfg.Random())}
+	r.holder.Alive = cfg.Alive
 	r.holder.nextAt = now.Add(fraction(cfg.FirstCheck, cfg.Random()))
 	for ctx.Err() == nil {
 		r.step(ctx)
@@ -81,6 +87,8 @@
 		}
 	case Read:
 		r.read(ctx)
+	case Remove:
+		r.remove(ctx)
 	case Claim:
 		r.claim(ctx)
 	case Renew:
@@ -92,7 +100,31 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	snapshot, err := r.Store.Range(ctx, rosterPrefix(r.DataCentre))
+	if holders, _ := holdersOf(snapshot); r.Found != nil && len(holders) > 0 {
+		r.Found(holders) // Discover reports damaged entries
+	}
+	lease := r.holder.Lease
 	r.holder.HandleRead(time.Now(), snapshot, err, r.Random())
+	if lease != 0 && r.holder.Lease == 0 {
+		r.logChange("roster place lost", lease)
+	}
+}
+
+// remove deletes the entry of the holder's place, unless it has changed since it was read. If the outcome is unknown, the
+// next read shows it.
+func (r *runner) remove(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	key := placeKey(r.DataCentre, r.holder.Place)
+	result, err := r.Store.Commit(ctx, store.Txn{
+		Compares: []store.Compare{{Key: key, ModRevision: r.holder.Revision}},
+		Deletes:  []string{key},
+	})
+	removed := err == nil && result.Succeeded
+	if removed {
+		r.logChange("roster entry of an ended process removed", 0)
+	}
+	r.holder.HandleRemove(time.Now(), removed, r.Random())
 }
 
 func (r *runner) renew(ctx context.Context) {
