An agent tries its seeds when all balancers that it knows are gone

Callers (programs for HTTP/3): after the loss of all balancers for good, agents announced themselves to none of the new ones, so no flow was accepted. Cause: when no target was left, the agent cleared the list of balancers that it avoids and then took the known ones first, which fill all targets; it never came to its seeds. Change: candidates that are not avoided come first, seeds included; the others are tried again only if there is none.

--- a/internal/control/agent_targets.go
+++ b/internal/control/agent_targets.go
@@ -48,12 +48,18 @@
 	}
 }
 
-// fillTargets replaces lost targets by known balancers, the most recently named
-// first, and then by seeds.
+// fillTargets replaces lost targets. Balancers that did not answer lately are tried again
+// only if there is no other one.
 func (a *agent) fillTargets(now time.Time) {
+	a.addCandidates(now)
 	if len(a.targets) == 0 {
 		clear(a.avoided)
+		a.addCandidates(now)
 	}
+}
+
+// addCandidates adds known balancers, the most recently named first, and then seeds.
+func (a *agent) addCandidates(now time.Time) {
 	for i := len(a.knownBalancers) - 1; i >= 0 && len(a.targets) < observers; i-- {
 		a.addTarget(now, a.knownBalancers[i])
 	}
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -226,3 +226,23 @@
 		is.True(len(a.Node.ReplyTargets(f.Now)) > 0) // the agent keeps its last reply set
 	}
 }
+
+// Guards against an agent that tries the balancers that it knows again and again, although they are gone for good: there
+// were enough of them to fill all its targets, so it never tried its other seeds.
+func TestAgentTriesOtherSeedsWhenItsBalancersAreGone(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 1, 6, 0)
+	late := balancerAddr(0, 9)
+	cfg := memnet.Balancer(agentAddr(0, 0), dcName(0), 1, balancerAddr(0, 0), late)
+	cfg.Self.Kind, cfg.Self.Service, cfg.Self.Capacity = member.Agent, booking, 5
+	agent := f.Add(cfg)
+	f.Run(30 * time.Second) // the agent learns of all balancers
+	is.True(f.allOffer(agent))
+	for _, b := range f.balancers {
+		b.Down = true
+	}
+	f.Run(30 * time.Second)
+	started := f.Add(memnet.Balancer(late, dcName(0), 1))
+	f.Run(12 * time.Second)
+	is.True(f.offers(started, agent))
+}
