The programs for HTTP/3 look for balancers as long as they run

Besides, a balancer entered the roster within ten minutes of its start only. Change: both run roster.Discover. Balancers share the reads at rest; an agent, which does not know how many others there are, reads only while no balancer answers it. Balancers enter the roster within 3 s. Found addresses are kept by the new package contacts, at most 64 beside those of the settings, also in fleet; before, the list grew without end. A balancer asks up to three seeds that it does not reach, instead of one of all.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -65,8 +65,7 @@
 	identity *pki.Identity
 	dialer   *stream.Dialer
 	store    *etcd.Client
-	// contacts are the balancers that the agent contacts first.
-	contacts []netip.AddrPort
+	found    foundBalancers
 	driver   *controlplane.Driver
 	gateway  *gateway.Gateway
 	endpoint *endpoint
@@ -182,6 +181,10 @@
 // drains: it waits until all flows have ended, cuts the flows that are still open after
 // the drain timeout, and Run returns.
 func (a *Agent) Run(ctx, drain context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	discovery := a.startDiscovery(ctx)
+	defer discovery.Wait()
+	defer cancel()
 	announceServer, err := a.startAnnounceServer()
 	if err != nil {
 		return err
--- a/internal/agent/assemble.go
+++ b/internal/agent/assemble.go
@@ -80,7 +80,7 @@
 	}
 	return controlplane.New(controlplane.Options{
 		Node: control.Config{
-			Self: self, Seeds: a.contacts, BytesPerSecond: a.settings.ControlBytesPerSecond,
+			Self: self, Seeds: a.firstContacts(), BytesPerSecond: a.settings.ControlBytesPerSecond,
 			Rand: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())),
 		},
 		Log:      a.log,
--- a/internal/agent/review.go
+++ b/internal/agent/review.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -10,13 +9,10 @@
 	"github.com/almondledge/almondledge/internal/controlplane"
 	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/member"
-	"github.com/almondledge/almondledge/internal/roster"
 	"github.com/almondledge/almondledge/internal/service"
 )
 
 const (
-	// rosterTimeout bounds the single read of the roster.
-	rosterTimeout = 2 * time.Second
 	// maxLookupPause bounds the pause between two lookups of the service.
 	maxLookupPause = 2 * time.Second
 	// peerWaitTimeout is how long a stopping agent waits for a peer before it sends GOAWAY.
@@ -39,11 +35,10 @@
 	case <-drain.Done():
 		return service.Spec{}, nil
 	}
-	a.contacts = a.firstContacts(ctx)
 	last, _ := a.registry.Last(time.Now())
 	a.log.WithField("service", last.Service).WithField("port", last.Port).Info("backend server announced")
 	lookUp := func() (service.Spec, error) {
-		spec, err := controlplane.LookUp(ctx, a.dialer.DialSync, a.contacts, last.Service)
+		spec, err := controlplane.LookUp(ctx, a.dialer.DialSync, a.firstContacts(), last.Service)
 		if err != nil {
 			a.log.WithField("kind", string(errkind.Of(err))).WithError(err).Warn("service lookup failed; retrying")
 		}
@@ -58,17 +53,6 @@
 	return backoff.Retry(ctx, lookUp, backoff.WithBackOff(pause), backoff.WithMaxElapsedTime(0))
 }
 
-// firstContacts returns the balancers in the settings and in the roster.
-func (a *Agent) firstContacts(ctx context.Context) []netip.AddrPort {
-	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
-	defer cancel()
-	contacts, err := roster.Contacts(ctx, a.store, a.settings.DataCentre, a.settings.Peers)
-	if err != nil {
-		a.log.WithError(err).Warn("roster not read; using the peers of the settings only")
-	}
-	return contacts
-}
-
 // maintainState updates the announced state when the agent's condition changes.
 func (a *Agent) maintainState(ctx context.Context) error {
 	ticker := time.NewTicker(lifecyclePeriod)
--- a/internal/balancer/admin.go
+++ b/internal/balancer/admin.go
@@ -46,16 +46,22 @@
 	return adminapi.Serve(ctx, listener, adminapi.TLSConfig(listener.Addr(), b.identity), handler, b.log)
 }
 
-// joinRoster adds the balancers of the roster to the first contacts, and keeps this
-// balancer in the roster while the roster has room. If the store cannot be reached,
-// only the peers in the settings are used.
-func (b *Balancer) joinRoster(ctx context.Context) {
-	contacts, err := roster.Contacts(ctx, b.store, b.settings.DataCentre, b.settings.Peers)
-	if err != nil {
-		b.log.WithError(err).Warn("roster not read; using the peers of the settings only")
-	}
-	b.driver.AddSeeds(contacts)
-	roster.Run(ctx, roster.Config{Store: b.store, DataCentre: b.settings.DataCentre, Self: b.settings.Address, Log: b.log})
+// discoverBalancers contacts the balancers in the rosters besides the peers in the settings, until ctx ends.
+func (b *Balancer) discoverBalancers(ctx context.Context) {
+	roster.Discover(ctx, roster.DiscoverConfig{
+		Reader: b.store, DataCentre: roster.AllDataCentres, Found: b.driver.AddContacts, Log: b.log,
+		View: func() roster.View {
+			balancers := b.driver.BalancersInContact()
+			return roster.View{Members: balancers, KnowsBalancer: balancers > 1}
+		},
+	})
+}
+
+// keepRosterEntry keeps this balancer in the roster of its data centre while the roster has room, until ctx ends.
+func (b *Balancer) keepRosterEntry(ctx context.Context) {
+	roster.Run(ctx, roster.Config{
+		Store: b.store, DataCentre: b.settings.DataCentre, Self: b.settings.Address, FirstCheck: roster.FirstCheck, Log: b.log,
+	})
 }
 
 // decodeEvent converts an event of the store to a catalog entry. It returns false if
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -198,7 +198,11 @@
 	group.Go(func() error { return b.buildTables(groupCtx) })
 	group.Go(func() error { return b.serveAdmin(groupCtx) })
 	group.Go(func() error {
-		b.joinRoster(groupCtx)
+		b.discoverBalancers(groupCtx)
+		return nil
+	})
+	group.Go(func() error {
+		b.keepRosterEntry(groupCtx)
 		return nil
 	})
 	group.Go(func() error {
--- a/internal/control/agent_targets.go
+++ b/internal/control/agent_targets.go
@@ -63,17 +63,28 @@
 	for i := len(a.knownBalancers) - 1; i >= 0 && len(a.targets) < observers; i-- {
 		a.addTarget(now, a.knownBalancers[i])
 	}
-	if len(a.targets) >= observers || len(a.n.cfg.Seeds) == 0 {
+	seeds := a.n.seeds()
+	if len(a.targets) >= observers || len(seeds) == 0 {
 		return
 	}
-	offset := a.n.cfg.Rand.IntN(len(a.n.cfg.Seeds))
-	for i := range a.n.cfg.Seeds {
+	offset := a.n.cfg.Rand.IntN(len(seeds))
+	for i := range seeds {
 		if len(a.targets) < observers {
-			a.addTarget(now, a.n.cfg.Seeds[(offset+i)%len(a.n.cfg.Seeds)])
+			a.addTarget(now, seeds[(offset+i)%len(seeds)])
 		}
 	}
 }
 
+// acknowledged returns the number of balancers that have acknowledged an announcement within AckTimeout.
+func (a *agent) acknowledged(now time.Time) (count int) {
+	for _, t := range a.targets {
+		if !t.lastAck.IsZero() && now.Sub(t.lastAck) < a.n.cfg.Timing.AckTimeout {
+			count++
+		}
+	}
+	return count
+}
+
 func (a *agent) addTarget(now time.Time, addr netip.AddrPort) {
 	if _, avoid := a.avoided[addr]; avoid || a.target(addr) != nil {
 		return
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -11,7 +12,7 @@
 	joinRetry = 500 * time.Millisecond
 	// joinTimeout is how long a node looks for peers before it runs alone.
 	joinTimeout = 5 * time.Second
-	// joinContacts is the number of seeds contacted at a time.
+	// joinContacts bounds the seeds contacted at a time.
 	joinContacts = 3
 )
 
@@ -31,18 +32,20 @@
 		return
 	}
 	b.nextJoin = now.Add(joinRetry)
-	seeds := b.n.cfg.Seeds
+	seeds := b.n.seeds()
 	for range min(joinContacts, len(seeds)) {
 		b.contact(now, seeds[b.n.cfg.Rand.IntN(len(seeds))])
 	}
 }
 
 func (b *balancer) rejoin(now time.Time) {
-	if seeds := b.n.cfg.Seeds; len(seeds) > 0 {
-		seed := seeds[b.n.cfg.Rand.IntN(len(seeds))]
-		if r := b.table.Get(seed); r == nil || !isReachable(r) {
-			b.contact(now, seed)
-		}
+	unreached := slices.DeleteFunc(b.n.seeds(), func(a netip.AddrPort) bool {
+		r := b.table.Get(a)
+		return r != nil && isReachable(r)
+	})
+	b.n.cfg.Rand.Shuffle(len(unreached), func(i, j int) { unreached[i], unreached[j] = unreached[j], unreached[i] })
+	for _, seed := range unreached[:min(joinContacts, len(unreached))] {
+		b.contact(now, seed)
 	}
 	group := b.table.Balancers(b.n.self.DataCentre)
 	if len(group) == 0 {
@@ -56,7 +59,7 @@
 // contactRemote pings a seed and a balancer of another data centre, to find out
 // whether this node can receive anything.
 func (b *balancer) contactRemote(now time.Time) {
-	if seeds := b.n.cfg.Seeds; len(seeds) > 0 {
+	if seeds := b.n.seeds(); len(seeds) > 0 {
 		b.contact(now, seeds[b.n.cfg.Rand.IntN(len(seeds))])
 	}
 	if r := b.randomRemote(); r != nil {
@@ -64,6 +67,18 @@
 	}
 }
 
+// reachableBalancers returns the number of balancers in the table that are not suspect or dead, this one included.
+func (b *balancer) reachableBalancers() (count int) {
+	for _, dataCentre := range b.table.DataCentres() {
+		for _, r := range b.table.Balancers(dataCentre) {
+			if isReachable(r) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // contact pings a member. If this node considers it suspect or dead, the ping
 // carries that record, so that the member can refute it.
 func (b *balancer) contact(now time.Time, to netip.AddrPort) {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/almondledge/almondledge/internal/catalog"
+	"github.com/almondledge/almondledge/internal/contacts"
 	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/member"
 	"github.com/almondledge/almondledge/internal/presence"
@@ -24,6 +25,8 @@
 	out      []Output
 	lastTick time.Time
 	sequence uint32
+	// contacts are balancers to contact besides the seeds of the configuration.
+	contacts contacts.List
 	pull     pull
 	counters Counters
 }
@@ -107,13 +110,24 @@
 	return n.takeOutputs()
 }
 
-// AddSeeds adds balancers to contact first, such as those of the roster.
-func (n *Node) AddSeeds(seeds []netip.AddrPort) {
-	for _, seed := range seeds {
-		if seed != n.self.Addr && !slices.Contains(n.cfg.Seeds, seed) {
-			n.cfg.Seeds = append(slices.Clone(n.cfg.Seeds), seed)
-		}
+// AddContacts adds balancers to contact besides the seeds, such as those of the roster.
+func (n *Node) AddContacts(found []netip.AddrPort) {
+	n.contacts = n.contacts.Add(found)
+	if n.balancer != nil {
+		n.balancer.nextJoin = time.Time{}
+	}
+}
+
+// seeds returns the seeds of the configuration and the contacts that were found later.
+func (n *Node) seeds() []netip.AddrPort { return slices.Concat(n.cfg.Seeds, n.contacts) }
+
+// BalancersInContact returns the number of balancers that this node can reach as far as it knows: for a balancer those in its
+// table, itself included, for an agent those that have acknowledged an announcement within AckTimeout.
+func (n *Node) BalancersInContact(now time.Time) int {
+	if n.agent != nil {
+		return n.agent.acknowledged(now)
 	}
+	return n.balancer.reachableBalancers()
 }
 
 // SetState announces a new state of this node. A return to an earlier state
--- a/internal/controlplane/driver.go
+++ b/internal/controlplane/driver.go
@@ -236,11 +236,18 @@
 	return d.node.Self()
 }
 
-// AddSeeds adds balancers to contact first, such as those of the roster.
-func (d *Driver) AddSeeds(seeds []netip.AddrPort) {
+// AddContacts adds balancers to contact besides the seeds, such as those of the roster.
+func (d *Driver) AddContacts(found []netip.AddrPort) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.node.AddSeeds(seeds)
+	d.node.AddContacts(found)
+}
+
+// BalancersInContact returns the number of balancers that the node can reach as far as it knows.
+func (d *Driver) BalancersInContact() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.BalancersInContact(time.Now())
 }
 
 // SetState announces a new state of this node.
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -55,9 +55,7 @@
 	// maxIntroductions bounds the members to which a joining process introduces itself directly; all other
 	// members learn of it by gossip.
 	maxIntroductions = 96
-	// maxContacts bounds the members to contact besides the seeds, contactsPerPeriod those that are asked for their
-	// tables at a time.
-	maxContacts       = 64
+	// contactsPerPeriod bounds the contacts that are asked for their tables at a time.
 	contactsPerPeriod = 8
 	// localShare is the share of probes and updates that stay in the local data centre.
 	localShare = 0.7
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/almondledge/almondledge/internal/contacts"
 )
 
 // tableEntry is a member's record in the table of this node.
@@ -30,8 +32,8 @@
 	// recent lists the members whose records changed last, the newest at the end.
 	recent []netip.AddrPort
 	probes map[uint32]*probe
-	// contacts are members to contact besides the seeds, the most recently added ones first.
-	contacts []netip.AddrPort
+	// contacts are members to contact besides the seeds.
+	contacts contacts.List
 	relays   map[uint32]relay
 	sequence uint32
 	joined   bool
@@ -128,12 +130,9 @@
 func (n *Node) SetLoad(load func() Load) { n.cfg.Load = load }
 
 // AddContacts adds members to contact besides the seeds, such as those listed in the platform's store. Those that are not
-// considered alive are contacted from the next tick on. The members that were added last replace the earliest ones.
-func (n *Node) AddContacts(contacts []netip.AddrPort) {
-	earlier := slices.DeleteFunc(n.contacts, func(a netip.AddrPort) bool { return slices.Contains(contacts, a) })
-	n.contacts = slices.Concat(contacts, earlier)
-	n.contacts = slices.DeleteFunc(n.contacts, func(a netip.AddrPort) bool { return a == n.self.Addr })
-	n.contacts = n.contacts[:min(len(n.contacts), maxContacts)]
+// considered alive are contacted from the next tick on.
+func (n *Node) AddContacts(found []netip.AddrPort) {
+	n.contacts = n.contacts.Add(found)
 	n.nextJoin = time.Time{}
 }
 
--- a/internal/flowproc/contact.go
+++ b/internal/flowproc/contact.go
@@ -10,14 +10,9 @@
 	"github.com/almondledge/almondledge/internal/roster"
 )
 
-const (
-	// firstStartTime is how long a process waits for the seeds at the first start of a deployment, because
-	// the rosters are still empty.
-	firstStartTime = time.Second
-	// rosterFirstCheck is the time within which a new balancer first checks its roster and adds its own
-	// address.
-	rosterFirstCheck = 3 * time.Second
-)
+// firstStartTime is how long a process waits for the seeds at the first start of a deployment, because
+// the rosters are still empty.
+const firstStartTime = time.Second
 
 // discoverBalancers contacts the balancers in the rosters, as long as this process runs. The seeds may all be down, and
 // the members that this process knows may all end, or may be a part of the deployment only.
@@ -61,7 +56,7 @@
 	}
 	roster.Run(ctx, roster.Config{
 		Store: c.opt.Roster, DataCentre: c.cfg.DataCentre, Self: c.cfg.Peer,
-		FirstCheck: rosterFirstCheck, Alive: c.isAlive, Found: c.contact, Restored: c.opt.Restored,
+		FirstCheck: roster.FirstCheck, Alive: c.isAlive, Found: c.contact, Restored: c.opt.Restored,
 		Random: c.newRandom(), Log: c.opt.Log,
 	})
 }
--- a/internal/roster/discovery.go
+++ b/internal/roster/discovery.go
@@ -22,12 +22,18 @@
 	failurePauseMax = 5 * time.Second
 )
 
+// never is a pause longer than any process runs.
+const never = 100 * 365 * 24 * time.Hour
+
 // View is what a process knows of the other members.
 type View struct {
 	// Members is the number of living members, this process included. It is 1 if no message of another member arrives.
 	Members int
 	// KnowsBalancer is set if a living balancer is known, or if this process is a balancer that knows a living member.
 	KnowsBalancer bool
+	// SearchOnly is set for a process that reads the rosters only while it knows no balancer, and leaves the reads at rest
+	// to the balancers. Such a process need not know how many members there are.
+	SearchOnly bool
 }
 
 // Urgency says why a process reads the rosters.
@@ -117,6 +123,9 @@
 func (d *Discovery) pause(v View) time.Duration {
 	switch d.urgency {
 	case AtRest:
+		if v.SearchOnly {
+			return never
+		}
 		return d.sharedPause(restPeriod, v.Members)
 	case WithoutBalancer:
 		return d.sharedPause(searchPeriod, v.Members)
--- a/internal/roster/holder_test.go
+++ b/internal/roster/holder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -174,7 +175,7 @@
 // last read of a discovery had its entry removed by the next balancer.
 func TestHoldersThatAreReadAreContacted(t *testing.T) {
 	runDeployment(t, 1, func(t *testing.T, is *is.I, d *deployment) {
-		var found []netip.AddrPort
+		var found atomic.Pointer[[]netip.AddrPort]
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
 		var listed []netip.AddrPort
@@ -184,11 +185,12 @@
 		d.group.Go(func() {
 			Run(ctx, Config{
 				Store: d.newStore(), DataCentre: testDataCentre, Self: restoreSelf, FirstCheck: time.Second,
-				Found: func(holders []netip.AddrPort) { found = holders }, Log: &log.Logger{Handler: discard.New()},
+				Found: func(holders []netip.AddrPort) { found.Store(&holders) }, Log: &log.Logger{Handler: discard.New()},
 			})
 		})
 		time.Sleep(2 * time.Second)
-		is.Equal(found, listed)
+		is.True(found.Load() != nil)
+		is.Equal(*found.Load(), listed)
 		stop()
 		time.Sleep(time.Second)
 	})
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -41,6 +41,8 @@
 	// CheckInterval is the mean time between two reads of the roster by a balancer
 	// without a place.
 	CheckInterval = 10 * time.Minute
+	// FirstCheck is the time within which a balancer that starts should first read the roster.
+	FirstCheck = 3 * time.Second
 
 	// maxContacts bounds the addresses taken from the rosters of all data centres.
 	maxContacts = 16 * Places
