--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -125,8 +125,10 @@
 	// LoadReported: Member reported its load.
 	LoadReported
 	// FellBehind: the table of Member has many more members, or differs and no table was fetched for
-	// auditPeriod. The table should be fetched and passed to MergeTable.
+	// auditPeriod. The table should be fetched and passed to MergeTable; Complete states whether it is complete.
 	FellBehind
+	// TableCompleted: the table is taken as complete because of Evidence, which Member has given.
+	TableCompleted
 )
 
 // Event is a change that the caller has to act on or log.
@@ -137,4 +139,7 @@
 	Version uint64
 	Age     time.Duration
 	Load    Load
+	// Complete is set if the table of Member is complete.
+	Complete bool
+	Evidence Evidence
 }
--- a/internal/fleet/handle.go
+++ b/internal/fleet/handle.go
@@ -26,6 +26,7 @@
 	}
 	n.lastReceived = now
 	n.applyMessage(now, m)
+	n.compareTables(m)
 	n.checkTable(now, m)
 	switch m.Type {
 	case typePing:
@@ -130,7 +131,7 @@
 		return
 	}
 	n.nextFetch = now.Add(fetchPeriod)
-	n.events = append(n.events, Event{Kind: FellBehind, Member: m.From})
+	n.events = append(n.events, Event{Kind: FellBehind, Member: m.From, Complete: m.statesComplete()})
 }
 
 // MergeTable merges records of another member's table, and the times since the deaths of the dead members among them.
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -54,12 +54,23 @@
 	AgeMS uint32
 	// WantTable is set if the sender asks for the receiver's table.
 	WantTable bool
-	// Target is the member to ping in a ping request, or the member that answered in an ack.
+	// Target is the member to ping in a ping request, or the member that answered in an ack. In other messages see
+	// setComplete.
 	Target netip.AddrPort
 	// Members holds updates or a part of a table.
 	Members []Member
 }
 
+// setComplete states that the sender's table is complete. A message with another number of fields could not be read by
+// earlier releases, so the sender's own address as the target of a message without a target says so.
+func (m *message) setComplete() { m.Target = m.From.Addr }
+
+// statesComplete reports whether the sender states that its table is complete.
+func (m *message) statesComplete() bool {
+	hasNoTarget := m.Type == typePing || m.Type == typeUpdates || m.Type == typeTable
+	return hasNoTarget && m.Target == m.From.Addr
+}
+
 // maxDatagramMembers keeps datagrams below the usual path MTU.
 const maxDatagramMembers = 14
 
--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -97,7 +97,7 @@
 
 func (n *Node) message(t messageType) *message {
 	version, age := n.cfg.Version()
-	return &message{
+	m := &message{
 		Type:    t,
 		From:    n.self.Member,
 		Load:    n.cfg.Load(),
@@ -106,6 +106,10 @@
 		Count:   uint32(len(n.table)),
 		AgeMS:   uint32(min(age.Milliseconds(), math.MaxUint32)),
 	}
+	if n.complete != NoEvidence {
+		m.setComplete() // overwritten in messages with a target
+	}
+	return m
 }
 
 func (n *Node) sendTo(m *message, to ...netip.AddrPort) {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -37,6 +37,13 @@
 	relays   map[uint32]relay
 	sequence uint32
 	joined   bool
+	// complete is the evidence that the table is complete. heardComplete is set once a member with a complete table has sent
+	// a message.
+	complete      Evidence
+	heardComplete bool
+	// started is when this node started, without the time in which it was frozen. lastNewMember is when the last member was
+	// added to the table.
+	started, lastNewMember time.Time
 	// badRecords counts the records that were left out because a field was out of range.
 	badRecords int
 	// introductionsLeft is the number of members to which this member may still introduce itself.
@@ -65,6 +72,7 @@
 		lastReceived:      now,
 		lastFetch:         now,
 		introductionsLeft: maxIntroductions,
+		started:           now,
 	}
 	cfg.Self.Revision = 1
 	n.self = &tableEntry{Member: cfg.Self, since: now}
@@ -84,6 +92,7 @@
 	}
 	n.checkProbes(now)
 	n.checkSuspects(now)
+	n.checkUptime(now)
 	if !now.Before(n.nextJoin) {
 		n.contactSeeds(now)
 	}
@@ -101,6 +110,7 @@
 	n.events = append(n.events, Event{Kind: Frozen, Gap: gap})
 	clear(n.probes)
 	n.lastReceived = now
+	n.started = n.started.Add(gap)
 	for _, r := range n.table {
 		if r.Liveness == Suspect {
 			r.since = now
@@ -243,6 +253,7 @@
 		}
 		r = &tableEntry{}
 		n.table[m.Addr] = r
+		n.lastNewMember = now
 		n.probeOrderOf(m.DataCentre).insert(m.Addr, n.cfg.Rand)
 	} else if !Supersedes(&m, &r.Member) {
 		n.noteDuplicate(&m, r)
--- a/internal/flowproc/core.go
+++ b/internal/flowproc/core.go
@@ -96,6 +96,7 @@
 		},
 		Load: func() fleet.Load { return fleet.Load{} },
 	})
+	c.directory.SetView(false, false)
 	c.metrics = newCounters(c)
 	c.countStoreCalls()
 	var err error
--- a/internal/flowproc/members.go
+++ b/internal/flowproc/members.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -31,19 +30,30 @@
 
 // fetchMembers fetches and merges the table of another member, because many members are missing in
 // the table of this process.
-func (c *core) fetchMembers(ctx context.Context, from netip.AddrPort) {
+// The argument complete states whether that table is complete.
+func (c *core) fetchMembers(ctx context.Context, from fleet.Member, complete bool) {
 	begun := time.Now()
-	members, deadAges, err := statesync.FetchMembers(ctx, c.opt.Network.DialTCP, from)
+	members, deadAges, err := statesync.FetchMembers(ctx, c.opt.Network.DialTCP, from.Addr)
 	if err != nil {
 		c.metrics.fetchErrors.Inc()
-		c.log.failure("cannot fetch the member table", err, fields{logging.FieldPeer: from})
+		c.log.failure("cannot fetch the member table", err, fields{logging.FieldPeer: from.Addr})
 		return
 	}
 	added := 0
 	for chunk := range slices.Chunk(members, tableChunk) {
 		added += c.mergeTable(ctx, chunk, deadAges)
 	}
-	c.log.event("members fetched", fields{logging.FieldPeer: from, "members": len(members), "new": added, "took": time.Since(begun)})
+	c.tableMerged(ctx, from, complete)
+	c.log.event("members fetched", fields{logging.FieldPeer: from.Addr, "members": len(members), "new": added, "took": time.Since(begun)})
+}
+
+// tableMerged notes that the whole table of a member was merged.
+func (c *core) tableMerged(ctx context.Context, from fleet.Member, complete bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.node.TableMerged(from, complete)
+	sends, events := c.node.Flush()
+	c.applyMembership(ctx, time.Now(), sends, events)
 }
 
 // mergeTable merges a part of a table and returns the number of new records. New records are not logged one
--- a/internal/flowproc/peers.go
+++ b/internal/flowproc/peers.go
@@ -8,6 +8,7 @@
 	"github.com/almondledge/almondledge/internal/errkind"
 	"github.com/almondledge/almondledge/internal/fleet"
 	"github.com/almondledge/almondledge/internal/hop"
+	"github.com/almondledge/almondledge/internal/logging"
 )
 
 // readPeers reads datagrams of other members until ctx ends.
@@ -59,6 +60,7 @@
 	for _, e := range events {
 		c.handleEvent(ctx, now, e)
 	}
+	c.directory.SetView(c.node.Complete() != fleet.NoEvidence, c.node.HeardComplete())
 }
 
 // handleEvent handles one event of the membership protocol.
@@ -78,7 +80,11 @@
 	case fleet.LoadReported:
 		c.directory.RecordLoad(e.Member.Addr, e.Load.Flows, e.Load.Active)
 	case fleet.FellBehind:
-		go c.fetchMembers(ctx, e.Member.Addr)
+		go c.fetchMembers(ctx, e.Member, e.Complete)
+	case fleet.TableCompleted:
+		c.log.event("view of the members is complete", fields{
+			"evidence": e.Evidence, logging.FieldPeer: e.Member.Addr, "members": c.node.Len(), "since_start": now.Sub(c.started),
+		})
 	case fleet.VersionReported:
 		c.follower.PeerReported(now, e.Version, e.Age)
 		if e.Version > c.follower.Table().Version() && !now.Before(c.fetchPendingUntil) {
--- a/internal/placement/directory.go
+++ b/internal/placement/directory.go
@@ -72,6 +72,8 @@
 	// olderBackends counts the search targets whose backend servers started long before this
 	// process.
 	olderBackends int
+	// partial is set while members may be unknown, heardComplete once a process that knows all has been heard.
+	partial, heardComplete bool
 	// lastDiscovery is the last time at which an agent became a search target.
 	lastDiscovery time.Time
 	started       time.Time
--- a/internal/placement/directory_test.go
+++ b/internal/placement/directory_test.go
@@ -179,3 +179,31 @@
 func addrPort(ip [4]byte) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4(ip), 7000)
 }
+
+// Guards against a reset by an agent that knows few members only: quiet time is no evidence that there are no others
+// (review/9).
+func TestConvergenceNeedsACompleteView(t *testing.T) {
+	later := start.Add(2 * time.Second)
+	young, old := agent(1, "s", "here"), agent(2, "s", "here")
+	young.Backend.StartMillis = start.UnixMilli()
+	old.Backend.StartMillis = start.Add(-time.Hour).UnixMilli()
+	for _, test := range []struct {
+		name                    string
+		member                  fleet.Member
+		complete, heardComplete bool
+		want                    bool
+	}{
+		{"complete", old, true, true, true},
+		{"partial", old, false, false, false},
+		{"partial, others are complete", old, false, true, false},
+		{"partial, all backend servers have just started", young, false, false, true},
+		{"the same, but others are complete", young, false, true, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDirectory(test.member)
+			d.SetView(test.complete, test.heardComplete)
+			is.Equal(d.IsConverged(later), test.want)
+		})
+	}
+}
--- a/internal/placement/members.go
+++ b/internal/placement/members.go
@@ -178,13 +178,24 @@
 	}
 }
 
+// SetView records whether the membership table is complete, and whether a process with a complete table has been heard. A
+// new directory counts as complete.
+func (d *Directory) SetView(complete, heardComplete bool) {
+	d.partial, d.heardComplete = !complete, heardComplete
+}
+
 // IsConverged reports whether the view of the members has converged: it contains all agents that may hold
-// flows, since no silent agent may return and no new agent has appeared for a while.
+// flows, since the membership table is complete, no silent agent may return and no new agent has appeared for a while. In
+// a cold start no process has a complete table, and the agents that have not appeared yet hold no flows.
 func (d *Directory) IsConverged(now time.Time) bool {
 	uptime, quiet := minUptime, quietTime
-	if d.IsColdStart(now) {
+	isCold := d.IsColdStart(now)
+	if isCold {
 		uptime, quiet = coldMinUptime, coldQuietTime
 	}
+	if d.partial && (!isCold || d.heardComplete) {
+		return false
+	}
 	return !d.anySilentMayReturn(now) && now.Sub(d.started) >= uptime && now.Sub(d.lastDiscovery) >= quiet
 }
 
