A search waits for an agent that may come back with the flow

Callers: open flows stood still for two to three seconds while agents were stopped and started as planned. Cause: a search in which some agent did not answer ended after 150 ms, although an agent was known to be away that might come back with the flow, and the packet was dropped. Change: such a search stays open for up to 3 s, as others do already. Agents that have not answered are queried again each 0.3 s, and when none is away any longer.

--- a/internal/flowagent/search.go
+++ b/internal/flowagent/search.go
@@ -46,6 +46,9 @@
 	pending, inconclusive []flow.Endpoint
 	// remaining lists the agents that are queried only if those before them do not have the flow.
 	remaining []flow.Endpoint
+	// awaited is set while an agent is away that may come back with the flow. The agents that have not answered are queried
+	// every searchRetryDelay then, and once more when none is away any longer.
+	awaited bool
 	// complete is set if no agents except the listed ones may have the flow.
 	complete    bool
 	forward     hop.Forward
@@ -108,6 +111,16 @@
 	return d
 }
 
+// queryAgain queries the agents again that have not answered, because one that was away may have come back with the flow.
+// Those that have been declared dead are not queried; when they come back, all agents are listed anew.
+func (a *Agent) queryAgain(now time.Time, d Decision, s *search) Decision {
+	silent := slices.DeleteFunc(slices.Clone(s.pending), func(e flow.Endpoint) bool {
+		return !a.cfg.Directory.IsSearchTarget(e.AddrPort())
+	})
+	s.pending, s.remaining = nil, silent
+	return a.queryNext(now, d, s, len(silent))
+}
+
 // homeAgent returns the home agent that handles a packet of a flow, and whether it is this agent.
 // Home agents that have forwarded the packet before or are not alive are skipped; if none is left,
 // this agent acts as the home agent.
@@ -219,6 +232,7 @@
 func (a *Agent) advanceSearch(now time.Time, d Decision, s *search) (Decision, bool) {
 	targetsCurrent := s.targetsListed.After(a.cfg.Directory.LastDiscovery())
 	allNotHeld := len(s.pending) == 0
+	anyAway := a.cfg.Directory.AnySilentMayReturn(now)
 	justStarted := now.Sub(a.started) < startupSearchTime+2*queryTimeout
 	switch {
 	case allNotHeld && targetsCurrent && (a.cfg.Directory.IsConverged(now) || now.Sub(s.started) >= unresponsiveWait):
@@ -227,9 +241,16 @@
 		return d, false
 	case len(s.remaining) > 0:
 		return a.queryNext(now, d, s, len(s.remaining)), true
-	case justStarted || allNotHeld:
+	case justStarted || !targetsCurrent:
 		a.listTargets(now, s) // some agents are new, or did not answer
 		return a.queryNext(now, d, s, len(s.remaining)), true
+	case now.Sub(s.started) < unresponsiveWait && (anyAway || s.awaited):
+		isBack := s.awaited && !anyAway
+		s.awaited = anyAway
+		if !isBack && now.Sub(s.lastQuery) < searchRetryDelay {
+			return d, false
+		}
+		return a.queryAgain(now, d, s), true
 	default:
 		s.end(now)
 		d.Outcome, d.Reason = Unresolved, "agent_silent"
--- a/internal/flowagent/search_test.go
+++ b/internal/flowagent/search_test.go
@@ -272,3 +272,45 @@
 	cl.advance(150 * time.Millisecond)
 	is.Equal(len(c.Answers), 2)
 }
+
+// Guards against the loss of a packet whose owner is away for a moment, such as during a planned restart: the search ended
+// after 150 ms, and the caller's next copy could come while the owner was away again (review/9).
+func TestSearchWaitsForAnAgentThatIsAway(t *testing.T) {
+	for _, liveness := range []fleet.Liveness{fleet.Suspect, fleet.Dead} {
+		t.Run(liveness.String(), func(t *testing.T) {
+			is := is.New(t)
+			cl := newCluster(t, 5)
+			for port := uint16(1000); port < 1010; port++ {
+				c, owner := cl.openFlow(port)
+				cl.replaceBalancer()
+				for _, n := range cl.nodes {
+					cl.restartAgent(n) // nobody knows the owner
+				}
+				owner.down = true
+				owner.member.Liveness = fleet.Suspect
+				cl.shareMembers()
+				cl.advance(5 * time.Second)
+				cl.sendFromCaller(c.Request("again"))
+				for range 10 {
+					cl.advance(100 * time.Millisecond)
+				}
+				if liveness == fleet.Dead {
+					owner.member.Liveness, owner.member.LeaveAnnounced = fleet.Dead, true
+					cl.shareMembers()
+					cl.advance(400 * time.Millisecond)
+				}
+				is.Equal(len(c.Answers), 1)
+				owner.down = false
+				owner.member.Liveness, owner.member.LeaveAnnounced = fleet.Alive, false
+				owner.member.Incarnation++
+				cl.restartAgent(owner)
+				cl.shareMembers()
+				for range 4 {
+					cl.advance(100 * time.Millisecond)
+				}
+				is.Equal(len(c.Answers), 2) // without another packet of the caller
+				is.True(!c.Reset)
+			}
+		})
+	}
+}
--- a/internal/placement/members.go
+++ b/internal/placement/members.go
@@ -144,8 +144,8 @@
 	delete(d.restarted, m.Addr)
 }
 
-// anySilentMayReturn reports whether some silent agent may return with flows that no other agent knows.
-func (d *Directory) anySilentMayReturn(now time.Time) bool {
+// AnySilentMayReturn reports whether some silent agent may return with flows that no other agent knows.
+func (d *Directory) AnySilentMayReturn(now time.Time) bool {
 	for addr, died := range d.silent {
 		if died.IsZero() || now.Sub(died) < deadGraceTime || d.members[addr].LeaveAnnounced {
 			return true
@@ -196,7 +196,7 @@
 	if d.partial && (!isCold || d.heardComplete) {
 		return false
 	}
-	return !d.anySilentMayReturn(now) && now.Sub(d.started) >= uptime && now.Sub(d.lastDiscovery) >= quiet
+	return !d.AnySilentMayReturn(now) && now.Sub(d.started) >= uptime && now.Sub(d.lastDiscovery) >= quiet
 }
 
 // IsColdStart reports whether all known backend servers started at about the same time as this process, not
@@ -211,6 +211,12 @@
 // HasAliveAgents reports whether any agent is considered alive.
 func (d *Directory) HasAliveAgents() bool { return d.alive > 0 }
 
+// IsSearchTarget reports whether a member is an agent whose backend server may hold flows.
+func (d *Directory) IsSearchTarget(a netip.AddrPort) bool {
+	m, known := d.members[a]
+	return known && isSearchTarget(&m)
+}
+
 // SearchTargetCount returns the number of agents whose backend servers may hold flows.
 func (d *Directory) SearchTargetCount() int { return d.searchTargets }
 
