--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/almondledge/almondledge/internal/catalog"
@@ -110,26 +109,6 @@
 	return n.takeOutputs()
 }
 
-// AddContacts adds balancers to contact besides the seeds, such as those of the roster.
-func (n *Node) AddContacts(found []netip.AddrPort) {
-	n.contacts = n.contacts.Add(found)
-	if n.balancer != nil {
-		n.balancer.nextJoin = time.Time{}
-	}
-}
-
-// seeds returns the seeds of the configuration and the contacts that were found later.
-func (n *Node) seeds() []netip.AddrPort { return slices.Concat(n.cfg.Seeds, n.contacts) }
-
-// BalancersInContact returns the number of balancers that this node can reach as far as it knows: for a balancer those in its
-// table, itself included, for an agent those that have acknowledged an announcement within AckTimeout.
-func (n *Node) BalancersInContact(now time.Time) int {
-	if n.agent != nil {
-		return n.agent.acknowledged(now)
-	}
-	return n.balancer.reachableBalancers()
-}
-
 // SetState announces a new state of this node. A return to an earlier state
 // needs a higher incarnation, since a higher state overrides a lower one.
 func (n *Node) SetState(now time.Time, s member.State) []Output {
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -19,7 +19,7 @@
 	"ended/no_agent_has_it":   "no agent's backend server held the flow any more, or its instance was lost (see members with liveness=dead); the caller got a reset",
 	"ended/":                  "the flow's backend server has ended or restarted (see born) and lost its flows; the caller got a reset",
 	"ended/backend_lost_flow": "the backend server returned a packet of a flow that it had held; the caller got a reset",
-	"lost/members_in_doubt":   "no agent had the flow, but some agent was silent or had stopped and its backend server may have it; the packet was dropped",
+	"lost/members_in_doubt":   "no agent had the flow, but some agent was silent or had stopped and its backend server may have it, or the agent had just started and did not know all members yet (log line view of the members is complete); the packet was dropped",
 	"lost/agent_silent":       "an agent did not answer the search for the flow; the packet was dropped",
 	"lost/search_under_way":   "the flow was being searched for; the packet was dropped and a retransmission counts",
 }
--- a/internal/flowproc/calls.go
+++ b/internal/flowproc/calls.go
@@ -36,6 +36,14 @@
 	s.set.GetOrCreateHistogram(fmt.Sprintf("almondledge_store_call_seconds{op=%q}", op)).Update(time.Since(begun).Seconds())
 }
 
+// readRange reads a range and counts the call under the given operation.
+func (s storeCalls) readRange(ctx context.Context, op string, r roster.Reader, prefix string) (store.Snapshot, error) {
+	begun := time.Now()
+	snapshot, err := r.Range(ctx, prefix)
+	s.record(op, begun, err)
+	return snapshot, err
+}
+
 // countedStates is a StateSource that counts its calls.
 type countedStates struct {
 	StateSource
@@ -63,10 +71,7 @@
 }
 
 func (r countedReader) Range(ctx context.Context, prefix string) (store.Snapshot, error) {
-	begun := time.Now()
-	snapshot, err := r.Reader.Range(ctx, prefix)
-	r.calls.record("discover", begun, err)
-	return snapshot, err
+	return r.calls.readRange(ctx, "discover", r.Reader, prefix)
 }
 
 // countedRoster is a store of rosters that counts its calls.
@@ -76,10 +81,7 @@
 }
 
 func (s countedRoster) Range(ctx context.Context, prefix string) (store.Snapshot, error) {
-	begun := time.Now()
-	snapshot, err := s.Store.Range(ctx, prefix)
-	s.calls.record("range", begun, err)
-	return snapshot, err
+	return s.calls.readRange(ctx, "range", s.Store, prefix)
 }
 
 func (s countedRoster) Commit(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
--- a/internal/roster/discover.go
+++ b/internal/roster/discover.go
@@ -23,6 +23,7 @@
 
 // DiscoverConfig configures Discover.
 type DiscoverConfig struct {
+	// Reader reads the rosters.
 	Reader Reader
 	// DataCentre is the data centre whose roster is read, or AllDataCentres.
 	DataCentre string
